Pack what a message shares as one

Cause: each object and each change was compressed by itself, so 500 entries of servers, which resemble each other, stayed near their size on the way to each of 90 gateways, and a watcher compressed them anew for each follower.

Change: the changes of a message are compressed together, once for all followers that know the same revision. A message that can't be read is dropped whole, and the kind is asked for again.

test_many_entries_are_small_on_their_way holds 500 entries to a sixth of their size.

--- a/berylweir/gateway/followers/history.py
+++ b/berylweir/gateway/followers/history.py
@@ -2,9 +2,8 @@
 
 import collections
 from collections.abc import Iterable
+import itertools
 
-from berylweir.gateway.followers import sharing
-from berylweir.gateway.peers import messages as peers
 from berylweir.platform import store
 
 # Changes that are kept; a gateway that missed more gets all objects.
@@ -16,7 +15,7 @@
 
     def __init__(self) -> None:
         """Creates a history that is complete from no revision on."""
-        self._changes: collections.deque[tuple[int, peers.SharedChange]] = (
+        self._changes: collections.deque[tuple[int, store.Change]] = (
             collections.deque()
         )
         self._complete_from: int | None = None
@@ -31,17 +30,17 @@
         if self._complete_from is None:
             return
         for change in changes:
-            shared = peers.SharedChange(
-                sharing.share(change.object), change.is_removed
-            )
-            self._changes.append((revision, shared))
+            self._changes.append((revision, change))
         while len(self._changes) > MAX_CHANGES:
             self._complete_from = max(
                 self._complete_from, self._changes.popleft()[0]
             )
 
-    def since(self, revision: int) -> list[peers.SharedChange] | None:
+    def since(self, revision: int) -> list[store.Change] | None:
         """Returns the changes after a revision; None if some are forgotten."""
         if self._complete_from is None or revision < self._complete_from:
             return None
-        return [change for at, change in self._changes if at > revision]
+        newer = itertools.takewhile(
+            lambda entry: entry[0] > revision, reversed(self._changes)
+        )
+        return [change for _, change in newer][::-1]
--- a/berylweir/gateway/followers/messages.py
+++ b/berylweir/gateway/followers/messages.py
@@ -3,7 +3,7 @@
 import dataclasses
 
 from berylweir.gateway import models
-from berylweir.gateway.peers import messages as peers
+from berylweir.platform import store
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -30,11 +30,18 @@
 
     Attributes:
         source: The gateway.
-        changes: What it told.
+        revision: Revision of the store up to which the changes are complete.
+        is_whole: Whether these are all objects, rather than changes.
+        returned_s: Time since the store came back from an outage, in seconds;
+            None if there was none.
+        changes: Changes in the order in which they were made.
     """
 
     source: models.Vm
-    changes: peers.KindChanges
+    revision: int
+    is_whole: bool
+    returned_s: float | None
+    changes: tuple[store.Change, ...]
 
 
 FollowerMessage = Order | Received
--- a/berylweir/gateway/followers/relay.py
+++ b/berylweir/gateway/followers/relay.py
@@ -11,6 +11,7 @@
 from berylweir.gateway import models
 from berylweir.gateway.followers import feed
 from berylweir.gateway.followers import messages
+from berylweir.gateway.followers import sharing
 from berylweir.gateway.followers import sources
 from berylweir.gateway.followers import task as followers
 from berylweir.gateway.peers import messages as peers
@@ -191,10 +192,18 @@
         follower = self._followed.get(changes.kind)
         if follower is None:
             return
-        self._received[changes.kind] = max(
-            changes.revision, self._received.get(changes.kind, 0)
-        )
-        follower.inbox.post(messages.Received(vm, changes))
+        match sharing.receive(vm, changes):
+            case result.Ok(received):
+                self._received[changes.kind] = max(
+                    changes.revision, self._received.get(changes.kind, 0)
+                )
+                follower.inbox.post(received)
+            case result.Err(failure):
+                self._sources.note_silent(vm, self._now_s())
+                _LOGGER.warning(
+                    "undecodable message",
+                    extra={"source": vm.name, "failure": failure},
+                )
 
     def _now_s(self) -> float:
         return asyncio.get_running_loop().time()
--- a/berylweir/gateway/followers/tables.py
+++ b/berylweir/gateway/followers/tables.py
@@ -69,7 +69,7 @@
         """Asks the holder, which has the newest tables, or else the store."""
         view = await self._neighbours.ask_holder(objects.KEY_TABLES)
         if view is not None:
-            self._publish(sharing.receive(view.objects))
+            self._publish(sharing.receive_objects(view.objects))
             return
         match await self._client.list_all(objects.KEY_TABLES):
             case result.Ok(listing):
@@ -80,4 +80,4 @@
                 self._wanted.set()
                 view = await self._neighbours.ask_others(objects.KEY_TABLES)
                 if view is not None:
-                    self._publish(sharing.receive(view.objects))
+                    self._publish(sharing.receive_objects(view.objects))
--- a/berylweir/gateway/followers/task.py
+++ b/berylweir/gateway/followers/task.py
@@ -86,6 +86,9 @@
         self._is_current = False
         self._lost_s: float | None = None
         self._removed = asyncio.Event()
+        # What followers are told, by the revision that they know; None is all.
+        self._packed: dict[int | None, peers.Packed] = {}
+        self._packed_revision = 0
 
     @property
     def inbox(self) -> Inbox:
@@ -118,7 +121,7 @@
         is_whole = changes is None
         if changes is None:
             changes = [
-                peers.SharedChange(sharing.share(found), is_removed=False)
+                store.Change(found, is_removed=False)
                 for found in self._state.stored
             ]
         elif not changes:
@@ -129,9 +132,21 @@
             self._state.revision,
             is_whole,
             returned_s if returned_s < float("inf") else None,
-            changes,
+            self._pack(None if is_whole else revision, changes),
         )
 
+    def _pack(
+        self, since: int | None, changes: list[store.Change]
+    ) -> peers.Packed:
+        """Packs changes once for all followers that know the same revision."""
+        if self._packed_revision != self._state.revision:
+            self._packed_revision = self._state.revision
+            self._packed.clear()
+        packed = self._packed.get(since)
+        if packed is None:
+            packed = self._packed[since] = sharing.pack(changes)
+        return packed
+
     async def run(self, context: supervision.ChildContext) -> None:
         """Follows the kind until the supervisor stops the child."""
         context.stack.callback(self._client.close)
@@ -142,8 +157,8 @@
             self._obey(group)
             while True:
                 match await self._inbox.get():
-                    case messages.Received(source, changes):
-                        self._receive(source.name, changes)
+                    case messages.Received() as told:
+                        self._receive(told)
                     case order:
                         self._order = order
                         self._obey(group)
@@ -232,33 +247,32 @@
 
     # Other gateways
 
-    def _receive(self, source: str, changes: peers.KindChanges) -> None:
+    def _receive(self, told: messages.Received) -> None:
         """Takes what another gateway read, unless more is known here."""
-        if changes.revision <= self._state.revision:
+        if told.revision <= self._state.revision:
             return
         now_s = self._now_s()
         self._lost_s = None
-        if changes.returned_s is not None:
-            self._state.returned(now_s - changes.returned_s)
-        if changes.is_whole:
-            whole = sharing.receive(c.object for c in changes.changes)
-            self._state.replace(whole, changes.revision, now_s)
+        if told.returned_s is not None:
+            self._state.returned(now_s - told.returned_s)
+        if told.is_whole:
+            whole = (change.object for change in told.changes)
+            self._state.replace(whole, told.revision, now_s)
         else:
-            for change in changes.changes:
-                for found in sharing.receive((change.object,)):
-                    self._state.change(
-                        found, now_s, is_removed=change.is_removed
-                    )
-            self._state.advance(changes.revision)
+            for change in told.changes:
+                self._state.change(
+                    change.object, now_s, is_removed=change.is_removed
+                )
+            self._state.advance(told.revision)
         self._history.restart(self._state.revision)
         _LOGGER.info(
             "read from another gateway",
             extra={
                 "kind": self._kind,
-                "source": source,
-                "revision": changes.revision,
-                "is_whole": changes.is_whole,
-                "changes": len(changes.changes),
+                "source": told.source.name,
+                "revision": told.revision,
+                "is_whole": told.is_whole,
+                "changes": len(told.changes),
             },
         )
         self._tell()
--- a/berylweir/gateway/ownership/announcing.py
+++ b/berylweir/gateway/ownership/announcing.py
@@ -33,10 +33,8 @@
     stored: store.StoredObject
     # By revision, oldest first.
     earlier: collections.OrderedDict[int, models.KeyTable]
-    whole: peers.SharedObject | None = None
-    changes: dict[int, peers.SharedObject] = dataclasses.field(
-        default_factory=dict
-    )
+    whole: peers.Packed | None = None
+    changes: dict[int, peers.Packed] = dataclasses.field(default_factory=dict)
 
     @property
     def last_revision(self) -> int:
@@ -48,19 +46,15 @@
         base = self.earlier.get(told)
         if base is None:
             if self.whole is None:
-                self.whole = sharing.share(self.stored)
+                self.whole = sharing.pack_objects([self.stored])
             return peers.TellTable(self.whole)
         if told not in self.changes:
             changed = tables.changes(base, self.table)
             spec = msgspec.Raw(objects.encode_table(changed))
-            self.changes[told] = sharing.share(
-                store.create_object(
-                    self.stored.name,
-                    self.stored.revision,
-                    spec,
-                    self.stored.status,
-                )
+            found = store.create_object(
+                self.stored.name, self.stored.revision, spec, self.stored.status
             )
+            self.changes[told] = sharing.pack_objects([found])
         return peers.TellTableChanges(told, self.changes[told])
 
 
--- a/berylweir/gateway/peers/messages.py
+++ b/berylweir/gateway/peers/messages.py
@@ -6,6 +6,9 @@
 from berylweir.gateway import messages as gateway
 from berylweir.gateway.peers import exceptions
 
+# Objects of the store or their changes, as `followers.sharing` packs them.
+Packed = bytes
+
 
 class ServerUse(msgspec.Struct, frozen=True, array_like=True):
     """What a VM saw of a server; fields as in `gateway.messages.ServerUse`."""
@@ -49,15 +52,6 @@
     """Asks where a gateway stands, and whether it hears the holder."""
 
 
-class SharedObject(msgspec.Struct, frozen=True, array_like=True):
-    """An object of the store, its contents still encoded."""
-
-    name: str
-    revision: int
-    spec: bytes
-    status: bytes
-
-
 class AskChanges(msgspec.Struct, frozen=True, tag="changes"):
     """Asks for what changed in the store; answered when something did.
 
@@ -68,13 +62,6 @@
     revisions: dict[str, int]
 
 
-class SharedChange(msgspec.Struct, frozen=True, array_like=True):
-    """One change of an object."""
-
-    object: SharedObject
-    is_removed: bool
-
-
 class KindChanges(msgspec.Struct, frozen=True, array_like=True):
     """What changed in a kind.
 
@@ -91,7 +78,7 @@
     revision: int
     is_whole: bool
     returned_s: float | None
-    changes: list[SharedChange]
+    changes: Packed
 
 
 class Changes(msgspec.Struct, frozen=True, tag="changed"):
@@ -109,7 +96,7 @@
 class TellTable(msgspec.Struct, frozen=True, tag="table"):
     """Brings a key table that was just written."""
 
-    table: SharedObject
+    table: Packed
 
 
 class TellTableChanges(msgspec.Struct, frozen=True, tag="table_changes"):
@@ -121,7 +108,7 @@
     """
 
     base_revision: int
-    changes: SharedObject
+    changes: Packed
 
 
 class Standing(msgspec.Struct, frozen=True, tag="standing"):
@@ -151,7 +138,7 @@
 
     kind: str
     revision: int
-    objects: list[SharedObject]
+    objects: Packed
 
 
 Request = (
--- a/berylweir/gateway/supervisor.py
+++ b/berylweir/gateway/supervisor.py
@@ -109,19 +109,21 @@
     async def answer(request: peer_messages.Request) -> peer_messages.Reply:
         match request:
             case peer_messages.AskView(objects.KEY_TABLES as kind):
-                shared = [sharing.share(t) for t in known.tables.values()]
-                revision = max((t.revision for t in shared), default=0)
-                return peer_messages.View(kind, revision, shared)
+                found = known.tables.values()
+                revision = max((t.revision for t in found), default=0)
+                return peer_messages.View(
+                    kind, revision, sharing.pack_objects(found)
+                )
             case peer_messages.TellTable(table):
-                known.see_tables(sharing.receive([table]))
+                known.see_tables(sharing.receive_objects(table))
                 return await keeper.answer(request)
             case peer_messages.TellTableChanges(base_revision, changed):
                 known.see_table_changes(
-                    sharing.receive([changed]), base_revision
+                    sharing.receive_objects(changed), base_revision
                 )
                 return await keeper.answer(request)
             case peer_messages.AskView(kind):
-                return peer_messages.View(kind, 0, [])
+                return peer_messages.View(kind, 0, sharing.pack_objects([]))
             case peer_messages.AskChanges():
                 return await changes.answer(request)
             case _:
--- a/tests/gateway/ownership/test_announcing.py
+++ b/tests/gateway/ownership/test_announcing.py
@@ -51,9 +51,9 @@
         self.requests.append(request)
         match request:
             case peers.TellTable(table):
-                self.world.see_tables(sharing.receive([table]))
+                self.world.see_tables(sharing.receive_objects(table))
             case peers.TellTableChanges(base_revision, changes):
-                found = sharing.receive([changes])
+                found = sharing.receive_objects(changes)
                 self.world.see_table_changes(found, base_revision)
         known = self.world.table_revisions
         return result.Ok(peers.Standing("run", 1, False, tables=known))
@@ -118,7 +118,7 @@
         await rig.until(lambda: listener.world.table_revisions == {"g": 2})
         (request,) = listener.requests
         assert isinstance(request, peers.TellTableChanges)
-        (changed,) = sharing.receive([request.changes])
+        (changed,) = sharing.receive_objects(request.changes)
         found = objects.decode_table(changed).unwrap()
         assert (found.epoch, found.ranges) == (2, ())
         announcer.close()
--- a/tests/gateway/test_followers.py
+++ b/tests/gateway/test_followers.py
@@ -123,12 +123,12 @@
         returned_s: float | None = None,
     ) -> None:
         """Tells of changes: name, revision, and whether it is a removal."""
-        shared = [
-            peers.SharedChange(sharing.share(stored(name, at)), is_removed)
+        packed = sharing.pack(
+            store.Change(stored(name, at), is_removed)
             for name, at, is_removed in changes
-        ]
-        told = peers.KindChanges("k", revision, is_whole, returned_s, shared)
-        self.follower.inbox.post(messages.Received(vm("v", 1), told))
+        )
+        told = peers.KindChanges("k", revision, is_whole, returned_s, packed)
+        self.follower.inbox.post(sharing.receive(vm("v", 1), told).unwrap())
 
 
 class TestFollower:
@@ -200,14 +200,18 @@
             await rig.until(lambda: followed.known[-1:] == [{"a"}])
             whole = follower.changes_since(0)
             assert whole is not None and whole.is_whole
-            assert [c.object.name for c in whole.changes] == ["a"]
+            received = sharing.receive(vm("v", 1), whole).unwrap()
+            assert [c.object.name for c in received.changes] == ["a"]
             assert follower.changes_since(whole.revision) is None
             await followed.store.put("k", "b", 1)
             await followed.store.remove("k", "a")
             await rig.until(lambda: followed.known[-1] == {"b"})
             news = follower.changes_since(whole.revision)
             assert news is not None and not news.is_whole
-            assert [(c.object.name, c.is_removed) for c in news.changes] == [
+            received = sharing.receive(vm("v", 1), news).unwrap()
+            assert [
+                (c.object.name, c.is_removed) for c in received.changes
+            ] == [
                 ("b", False),
                 ("a", True),
             ]
--- a/tests/gateway/test_sharing.py
+++ b/tests/gateway/test_sharing.py
@@ -1,5 +1,7 @@
 """Tests of objects on their way between gateways."""
 
+import zlib
+
 import msgspec
 
 from berylweir.gateway import models
@@ -27,12 +29,44 @@
         found = store.create_object(
             "g", 3, msgspec.Raw(spec), msgspec.Raw(b"null")
         )
-        shared = sharing.share(found)
-        assert len(shared.spec) < len(spec) / 3
-        (received,) = sharing.receive([shared])
+        packed = sharing.pack_objects([found])
+        assert len(packed) < len(spec) / 3
+        (received,) = sharing.receive_objects(packed)
         assert objects.decode_table(received).unwrap().ranges == ranges
 
-    def test_a_broken_object_is_skipped(self):
+    def test_many_entries_are_small_on_their_way(self):
+        """Guards against bytes between zones for each start of a gateway."""
+        entries = [
+            store.create_object(
+                f"i-{number:010x}",
+                number,
+                msgspec.Raw(
+                    b'{"addr":"10.1.0.%d:9000","info":{"backend":"g",'
+                    b'"zone":"a","maxConcurrency":6}}' % (number % 250)
+                ),
+                msgspec.Raw(b'{"state":"ready","warmupLeftMs":0}'),
+            )
+            for number in range(500)
+        ]
+        size = sum(len(e.spec) + len(e.status) for e in entries)
+        packed = sharing.pack_objects(entries)
+        assert len(packed) < size / 6
+        assert sharing.receive_objects(packed) == entries
+
+    def test_removals_arrive_as_such(self):
+        """Guards against a removed server that comes back."""
+        null = msgspec.Raw(b"null")
+        change = store.Change(
+            store.create_object("g", 3, null, null), is_removed=True
+        )
+        told = peers.KindChanges("k", 3, False, None, sharing.pack([change]))
+        vm = models.Vm("v", "run", "127.0.0.1", 1, "a")
+        assert sharing.receive(vm, told).unwrap().changes == (change,)
+
+    def test_a_broken_message_brings_nothing(self):
         """Guards against a message that ends the task of a gateway."""
-        broken = peers.SharedObject("g", 1, b"broken", b"")
-        assert sharing.receive([broken]) == []
+        vm = models.Vm("v", "run", "127.0.0.1", 1, "a")
+        for broken in (b"broken", zlib.compress(b"broken")):
+            assert sharing.receive_objects(broken) == []
+            told = peers.KindChanges("k", 3, False, None, broken)
+            assert sharing.receive(vm, told).is_err()
