Let servers that take no grants lapse

A frozen server was granted to for ever, and a range that moved to a lost one stayed there.

Change: a refused grant prolongs nothing. A server counts as lost after two grants that it didn't accept; one that doesn't answer gets no more until its hold has ended. Targets of moves are looked at too. A server that was lost gets no keys for 4 s, then longer. A keeper that was suspended no longer takes all servers for lost.

--- a/berylweir/gateway/ownership/candidates.py
+++ b/berylweir/gateway/ownership/candidates.py
@@ -9,8 +9,11 @@
 from berylweir.gateway.ownership import demand
 from berylweir.gateway.ownership import models as ownership
 
-# How long a server gets no keys after it stopped answering, in seconds.
-_SHUN_S = 2.0
+# How long a server gets no keys after it stopped answering, in seconds; twice
+# as long each time up to the longest. The entry of a server that crashed lapses
+# after three heartbeats, which is a few seconds.
+_SHUN_S = 4.0
+_SHUN_MAX_S = 30.0
 
 
 class Candidates:
@@ -26,6 +29,7 @@
         self._servers: Mapping[str, models.BackendServer] = {}
         self._cold_until_s: dict[models.Life, float] = {}
         self._shunned_until_s: dict[models.Life, float] = {}
+        self._shuns: dict[models.Life, int] = {}
         self._evacuated: frozenset[str] = frozenset()
 
     def see_servers(self, servers: Mapping[str, models.BackendServer]) -> None:
@@ -40,6 +44,10 @@
                     now_s + server.cold_ms / 1000.0
                 )
         self._servers = servers
+        lives = {server.life for server in servers.values()}
+        for gone in self._shuns.keys() - lives:
+            del self._shuns[gone]
+            del self._shunned_until_s[gone]
 
     def see_evacuations(self, availability_zones: frozenset[str]) -> None:
         """Takes the availability zones that get no requests."""
@@ -72,9 +80,7 @@
                 nothing; None if this keeper has granted nothing yet.
         """
         now_s = clock.boot_s()
-        owners = {
-            r.owner for r in (table.ranges if table else ()) if not r.former
-        }
+        owners = {r.owner for r in (table.ranges if table else ())}
         found = []
         for server in self._servers.values():
             if (
@@ -86,7 +92,7 @@
             life = server.life
             is_owner = life in owners
             if is_owner and is_lapsed is not None and is_lapsed(life):
-                self._shunned_until_s[life] = now_s + _SHUN_S
+                self._shun(life, now_s)
             if self._shunned_until_s.get(life, 0.0) > now_s:
                 continue
             if not is_owner and self._cold_until_s.get(life, 0.0) > now_s:
@@ -100,3 +106,10 @@
                 )
             )
         return found
+
+    def _shun(self, life: models.Life, now_s: float) -> None:
+        if self._shunned_until_s.get(life, 0.0) > now_s:
+            return
+        shuns = self._shuns[life] = self._shuns.get(life, 0) + 1
+        pause_s = min(_SHUN_MAX_S, _SHUN_S * 2.0 ** (shuns - 1))
+        self._shunned_until_s[life] = now_s + pause_s
--- a/berylweir/gateway/ownership/granting.py
+++ b/berylweir/gateway/ownership/granting.py
@@ -46,6 +46,7 @@
         may_act: Callable[[], bool],
         on_settled: Callable[[], None],
         on_superseded: Callable[[], None],
+        on_lapsed: Callable[[], None],
         metrics: counters.Counters,
     ) -> None:
         """Creates a granter that does nothing yet.
@@ -55,12 +56,15 @@
             may_act: Whether this gateway may grant now.
             on_settled: Called when a moved range is held by its new owner.
             on_superseded: Called when a server has seen a higher token.
+            on_lapsed: Called when a server that stopped answering holds
+                nothing.
             metrics: Counters.
         """
         self._table_of = table_of
         self._may_act = may_act
         self._on_settled = on_settled
         self._on_superseded = on_superseded
+        self._on_lapsed = on_lapsed
         self._metrics = metrics
         self._servers: Mapping[str, models.BackendServer] = {}
         self._couriers: dict[models.Life, courier.Courier] = {}
@@ -121,7 +125,7 @@
 
     def is_lapsed(self, life: models.Life) -> bool:
         """Returns whether a server stopped answering and holds nothing."""
-        return self._holds.until_s(life) <= clock.boot_s()
+        return self._holds.is_lapsed(life, clock.boot_s())
 
     def is_cleared(self, group: str, found: models.KeyRange) -> bool:
         """Returns whether the former owner of a range holds none of it."""
@@ -165,11 +169,21 @@
 
     async def _renew(self, group: str, life: models.Life) -> None:
         while True:
+            await self._let_lapse(life)
             is_accepted = False
             async with self._lock(life):
                 is_accepted = await self._grant_all(group, life)
             await asyncio.sleep(RENEW_S if is_accepted else _RENEW_AGAIN_S)
 
+    async def _let_lapse(self, life: models.Life) -> None:
+        """Waits until a server that doesn't answer holds nothing."""
+        if self._holds.of(life).silences < holds.MAX_FAILURES:
+            return
+        await _sleep_until(self._holds.until_s(life))
+        # The keeper looks for another owner before this one is tried again.
+        self._on_lapsed()
+        await asyncio.sleep(_RENEW_AGAIN_S)
+
     async def _grant_all(self, group: str, life: models.Life) -> bool:
         """Grants all settled ranges of a life; returns whether it took all."""
         sender = self._couriers.get(life)
@@ -210,16 +224,16 @@
         hold = self._holds.of(life)
         match delivery:
             case grants.Accepted():
-                hold.sent(clock.boot_s())
+                hold.accepted(clock.boot_s())
                 return True
-            case courier.NotDelivered():
-                hold.not_sent()
+            case courier.NotDelivered() | grants.Invalid():
+                # Another server that took over the address refuses orders.
+                hold.not_taken()
             case courier.Unanswered():
                 hold.unanswered(clock.boot_s())
             case grants.Superseded():
+                hold.not_taken()
                 self._on_superseded()
-            case grants.Invalid():
-                pass
             case _:
                 typing.assert_never(delivery)
         self._metrics.count("grants.failed")
@@ -249,6 +263,7 @@
         handover = await self._clear(former, found)
         self._cleared.add(transfer)
         while True:
+            await self._let_lapse(owner)
             if await self._grant_moved(owner, found, handover):
                 break
             await asyncio.sleep(_GRANT_AGAIN_S)
--- a/berylweir/gateway/ownership/holds.py
+++ b/berylweir/gateway/ownership/holds.py
@@ -14,6 +14,10 @@
 # How long a keeper grants after it last saw itself in the lease, in seconds.
 # Outages of the store last several seconds.
 AUTHORITY_S = 14.0
+# Grants in a row that a server doesn't accept before it may count as lost. If
+# it doesn't answer them, it gets no more until its hold has ended: each one
+# prolongs the hold.
+MAX_FAILURES = 2
 
 
 def longest_hold_s() -> float:
@@ -31,24 +35,37 @@
             a grant may be carried out after a release.
         is_fenced: Whether it has accepted this keeper's tokens for all of its
             keys, and so refuses a former keeper.
+        failures: Grants in a row that it didn't accept.
+        silences: Grants in a row that it didn't answer.
     """
 
     until_s: float = float("-inf")
     unanswered_until_s: float = float("-inf")
     is_fenced: bool = False
+    failures: int = 0
+    silences: int = 0
     _before_s: float = float("-inf")
 
     def sent(self, now_s: float) -> None:
-        """Notes a grant that is about to be sent, or was just accepted."""
+        """Notes a grant that is about to be sent."""
         self._before_s = self.until_s
         self.until_s = max(self.until_s, now_s + longest_hold_s())
 
-    def not_sent(self) -> None:
-        """Takes the last grant back: nothing of it was sent."""
+    def accepted(self, now_s: float) -> None:
+        """Notes that the last grant was accepted."""
+        self.failures = 0
+        self.silences = 0
+        self.sent(now_s)
+
+    def not_taken(self) -> None:
+        """Takes the last grant back: it wasn't sent, or was refused."""
+        self.failures += 1
         self.until_s = self._before_s
 
     def unanswered(self, now_s: float) -> None:
         """Notes that a grant was given up; it has arrived by now or never."""
+        self.failures += 1
+        self.silences += 1
         self.sent(now_s)
         self.unanswered_until_s = max(self.unanswered_until_s, self.until_s)
 
@@ -82,6 +99,18 @@
         """Returns the hold of a server."""
         return self._holds.setdefault(life, ServerHold())
 
+    def is_lapsed(self, life: models.Life, now_s: float) -> bool:
+        """Returns whether a server stopped answering and holds nothing.
+
+        Args:
+            life: The server.
+            now_s: Time on the boot clock, in seconds.
+        """
+        return (
+            self.of(life).failures >= MAX_FAILURES
+            and self.until_s(life) <= now_s
+        )
+
     def until_s(self, life: models.Life) -> float:
         """Returns when a server certainly holds nothing any more."""
         hold = self.of(life)
--- a/berylweir/gateway/ownership/task.py
+++ b/berylweir/gateway/ownership/task.py
@@ -117,6 +117,7 @@
             lambda: self._lease.may_act,
             self._dirty.set,
             self._superseded,
+            self._wake.set,
             metrics,
         )
 
--- a/tests/gateway/ownership/test_holds.py
+++ b/tests/gateway/ownership/test_holds.py
@@ -9,7 +9,7 @@
 class TestHolds:
     """Waits before keys may be granted to another server."""
 
-    def test_a_grant_that_was_not_sent_prolongs_nothing(self):
+    def test_a_grant_that_was_not_taken_prolongs_nothing(self):
         """Guards against a lost server that holds its keys for ever."""
         found = holds.Holds()
         hold = found.of(_LIFE)
@@ -18,7 +18,7 @@
         until_s = found.until_s(_LIFE)
         for attempt in range(20):
             hold.sent(11.0 + attempt)
-            hold.not_sent()
+            hold.not_taken()
         assert found.until_s(_LIFE) == until_s
 
     def test_a_grant_without_an_answer_counts_from_its_end(self):
@@ -31,6 +31,33 @@
         assert found.until_s(_LIFE) >= 10.5 + 1.02 * holds.HOLD_S
         assert hold.unanswered_until_s == found.until_s(_LIFE)
 
+    def test_only_a_server_that_fails_is_lapsed(self):
+        """Guards against moving all keys after the keeper was suspended."""
+        found = holds.Holds()
+        hold = found.of(_LIFE)
+        hold.is_fenced = True
+        hold.sent(10.0)
+        hold.accepted(10.1)
+        assert not found.is_lapsed(_LIFE, 20.0)
+        for _ in range(holds.MAX_FAILURES):
+            hold.sent(20.0)
+            hold.not_taken()
+        assert found.is_lapsed(_LIFE, 20.0)
+        hold.sent(21.0)
+        hold.accepted(21.0)
+        assert not found.is_lapsed(_LIFE, 30.0)
+
+    def test_a_server_that_may_hold_a_grant_is_not_lapsed(self):
+        """Guards against a second owner beside a frozen server."""
+        found = holds.Holds()
+        hold = found.of(_LIFE)
+        hold.is_fenced = True
+        for _ in range(holds.MAX_FAILURES):
+            hold.sent(10.0)
+            hold.unanswered(10.5)
+        assert not found.is_lapsed(_LIFE, 10.5 + holds.HOLD_S)
+        assert found.is_lapsed(_LIFE, 10.5 + holds.longest_hold_s())
+
     def test_a_former_keepers_grants_are_waited_for(self):
         """Guards against keys that a lost keeper may still be renewing."""
         found = holds.Holds()
--- a/tests/gateway/test_keyed_path.py
+++ b/tests/gateway/test_keyed_path.py
@@ -156,6 +156,36 @@
 
                 await rig.until(is_known)
 
+    async def test_keys_of_a_replaced_server_find_an_owner(self):
+        """Guards against orders to another server that keep a grant alive."""
+        async with deployment() as running:
+            # Its entry stays, as that of a server that crashed.
+            running.servers["s1"].name = "s9"
+            await asyncio.sleep(0)
+            lost = running.servers.pop("s1")
+            assert any(lost.holds(key) for key in KEYS)
+            await rig.until(lambda: all_owned(running))
+
+    async def test_keys_of_a_frozen_server_find_an_owner(self):
+        """Guards against grants without an answer that go on for ever."""
+        async with deployment() as running:
+            frozen = running.servers.pop("s1")
+            # Orders are taken and never answered; its entry stays.
+            frozen.order_delay = lambda: 3600.0
+            assert any(frozen.holds(key) for key in KEYS)
+            await rig.until(lambda: all_owned(running))
+
+    async def test_keys_that_move_to_a_lost_server_find_an_owner(self):
+        """Guards against a move to a server that never takes the keys."""
+        async with deployment(servers=2) as running:
+            # It registers, but refuses each order.
+            lost = await running.add_server("s2", "slots")
+            del running.servers["s2"]
+            lost.name = "s9"
+            await running.store.remove("servers", "s1")
+            del running.servers["s1"]
+            await rig.until(lambda: all_owned(running))
+
     async def test_a_restarted_server_gets_keys_under_a_higher_token(self):
         """Guards against a new life that takes the grants of the old one."""
         async with deployment() as running:
