Let large VMs watch the store and move keys

Watchers were chosen by age, and their followers mostly sat in other zones.

Change: bandwidth and processor time of a VM stand in its object; the largest come first in the succession and among the watchers. The first watcher of each zone comes before a second one, and followers prefer their own zone.

--- a/berylweir/gateway/followers/sources.py
+++ b/berylweir/gateway/followers/sources.py
@@ -1,6 +1,7 @@
 """Which gateways watch the store, and whom the others follow."""
 
 from collections.abc import Collection
+from collections.abc import Iterable
 from collections.abc import Mapping
 import dataclasses
 
@@ -8,9 +9,9 @@
 
 from berylweir.gateway import models
 
-# Gateways that watch the store for all. Each change of a kind costs a call of
-# each of them; with fewer, refusals of a third of the VMs by the store would
-# often hit all.
+# Gateways that watch the store for all, in different zones as far as possible.
+# Each change of a kind costs a call of each of them; with fewer, refusals of a
+# third of the VMs by the store would often hit all.
 WATCHERS = 4
 # Time that a gateway which isn't current, or that was silent, isn't asked, in
 # seconds; the second doubles up to the longest.
@@ -28,7 +29,7 @@
 
 
 class Sources:
-    """Ranks the gateways by when they registered, and avoids lost ones."""
+    """Ranks the gateways by size and age, and avoids lost ones."""
 
     def __init__(self, me: models.Vm) -> None:
         """Creates sources of which none is known.
@@ -47,14 +48,14 @@
 
     def see_vms(self, vms: Mapping[str, models.Vm]) -> None:
         """Takes the registered gateways."""
-        self._ranked = sorted(vms.values(), key=lambda vm: vm.registered)
+        self._ranked = sorted(vms.values(), key=_rank)
         for gone in self._avoided.keys() - set(self._ranked):
             del self._avoided[gone]
 
     def is_watcher(self, now_s: float) -> bool:
         """Returns whether this gateway is one of those that watch the store."""
-        watchers = [v for v in self._ranked if not self._is_silent(v, now_s)]
-        return any(self._is_me(vm) for vm in watchers[:WATCHERS])
+        fit = [v for v in self._ranked if not self._is_silent(v, now_s)]
+        return any(self._is_me(vm) for vm in _watchers(fit))
 
     def choose(
         self, now_s: float, *, slot: int, taken: Collection[models.Vm]
@@ -66,11 +67,11 @@
             slot: Number of the choice; different slots prefer different ones.
             taken: Gateways that are followed already.
         """
-        watchers = [
+        watchers = _watchers(
             v
             for v in self._ranked
             if not self._is_me(v) and not self._is_silent(v, now_s)
-        ][:WATCHERS]
+        )
         fit = [
             v
             for v in watchers
@@ -78,8 +79,14 @@
         ]
         if not fit:
             return None
-        # Spreads the followers over the watchers.
-        return max(fit, key=lambda vm: _weight(self._me.name, slot, vm.name))
+        # Bytes between zones are charged; else the followers are spread.
+        return max(
+            fit,
+            key=lambda vm: (
+                vm.availability_zone == self._me.availability_zone,
+                _weight(self._me.name, slot, vm.name),
+            ),
+        )
 
     def note_current(self, vm: models.Vm) -> None:
         """Notes that a gateway watches the store and reaches it."""
@@ -113,5 +120,22 @@
         )
 
 
+def _rank(vm: models.Vm) -> tuple[float, float, int]:
+    """Large VMs come first: a watcher sends each change to many others."""
+    return -vm.size.link_mbps, -vm.size.cores, vm.registered
+
+
+def _watchers(ranked: Iterable[models.Vm]) -> list[models.Vm]:
+    """Returns those that watch: the first of each zone, then the next ones."""
+    zones: set[str] = set()
+    first: list[models.Vm] = []
+    rest: list[models.Vm] = []
+    for vm in ranked:
+        is_first = vm.availability_zone not in zones
+        zones.add(vm.availability_zone)
+        (first if is_first else rest).append(vm)
+    return [*first, *rest][:WATCHERS]
+
+
 def _weight(follower: str, slot: int, source: str) -> int:
     return xxhash.xxh3_64_intdigest(f"{follower}/{slot}/{source}".encode())
--- a/berylweir/gateway/models.py
+++ b/berylweir/gateway/models.py
@@ -179,6 +179,22 @@
     ranges: tuple[KeyRange, ...]
 
 
+@dataclasses.dataclass(frozen=True, order=True, slots=True)
+class VmSize:
+    """What a VM can bear; compares by the link first.
+
+    What a gateway does for the others is limited by the link: it sends each
+    change to all of them.
+
+    Attributes:
+        link_mbps: Bandwidth of its link, in Mbit/s; 0 if not known.
+        cores: Processor cores, in parts of a usual one; 0 if not known.
+    """
+
+    link_mbps: float = 0.0
+    cores: float = 0.0
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Vm:
     """An entry VM and the address of its gateway for other gateways.
@@ -191,6 +207,7 @@
         availability_zone: Its availability zone.
         registered: Revision of the store at which it registered; 0 if it
             hasn't.
+        size: What it can bear.
     """
 
     name: str
@@ -199,6 +216,7 @@
     port: int
     availability_zone: str
     registered: int = 0
+    size: VmSize = VmSize()
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -271,6 +289,7 @@
         peer_port: First port for other gateways.
         store_address: Host and port of the store.
         bounds: Figures to keep.
+        size: What the VM can bear.
     """
 
     vm: str
@@ -281,3 +300,4 @@
     peer_port: int
     store_address: tuple[str, int]
     bounds: Bounds
+    size: VmSize = VmSize()
--- a/berylweir/gateway/ownership/election.py
+++ b/berylweir/gateway/ownership/election.py
@@ -1,9 +1,10 @@
 """Who should take the lease, and when."""
 
-from collections.abc import Collection
+from collections.abc import Mapping
 
 import xxhash
 
+from berylweir.gateway import models
 from berylweir.gateway.peers import task as peers
 
 # Gateways that ask the holder often, and take over first.
@@ -23,17 +24,28 @@
 _SLACK_S = 0.3
 
 
-def rank(vm: str, vms: Collection[str], holder: str, epoch: int) -> int:
-    """Returns the place of `vm` in the order of succession, from 0.
+def rank(
+    me: models.Vm, vms: Mapping[str, models.Vm], holder: str, epoch: int
+) -> int:
+    """Returns the place of a gateway in the order of succession, from 0.
 
-    The order differs from epoch to epoch, so that VMs which are down don't
-    come first each time.
+    Large VMs come first: the holder grants all keys and tells all others of
+    moves. Among equals the order differs from epoch to epoch, so that VMs
+    which are down don't come first each time.
+
+    Args:
+        me: The gateway.
+        vms: All known gateways by name.
+        holder: Name of the holder, who is not ranked.
+        epoch: Epoch of the holder's lease.
     """
-    ranked = sorted(
-        {*vms, vm} - {holder},
-        key=lambda name: xxhash.xxh3_64_intdigest(f"{epoch}/{name}".encode()),
-    )
-    return ranked.index(vm) if vm in ranked else len(ranked)
+
+    def place(vm: models.Vm) -> tuple[float, float, int]:
+        digest = xxhash.xxh3_64_intdigest(f"{epoch}/{vm.name}".encode())
+        return -vm.size.link_mbps, -vm.size.cores, digest
+
+    others = [v for v in vms.values() if v.name not in (me.name, holder)]
+    return sum(place(vm) < place(me) for vm in others)
 
 
 def report_interval_s(place: int, vms: int) -> float:
--- a/berylweir/gateway/ownership/lease.py
+++ b/berylweir/gateway/ownership/lease.py
@@ -388,7 +388,7 @@
     def _place(self, lease: models.Lease | None) -> int:
         holder = lease.holder if lease else ""
         return election.rank(
-            self._me.name, self._vms, holder, lease.epoch if lease else 0
+            self._me, self._vms, holder, lease.epoch if lease else 0
         )
 
     async def _wait(self, limit_s: float | None) -> bool:
--- a/berylweir/gateway/supervisor.py
+++ b/berylweir/gateway/supervisor.py
@@ -62,6 +62,7 @@
         environment.host,
         environment.peer_port,
         environment.availability_zone,
+        size=environment.size,
     )
 
     def client() -> store.StoreClient:
--- a/berylweir/platform/objects.py
+++ b/berylweir/platform/objects.py
@@ -179,6 +179,8 @@
     host: str
     port: int
     availability_zone: str
+    link_mbps: float = 0.0
+    cores: float = 0.0
 
 
 class _LeaseSpec(msgspec.Struct):
@@ -233,6 +235,7 @@
             vm.port,
             vm.availability_zone,
             found.revision,
+            models.VmSize(vm.link_mbps, vm.cores),
         )
     )
 
@@ -271,7 +274,14 @@
 def encode_vm(vm: models.Vm) -> bytes:
     """Returns the contents of a VM's object."""
     return msgspec.json.encode(
-        _VmSpec(vm.incarnation, vm.host, vm.port, vm.availability_zone)
+        _VmSpec(
+            vm.incarnation,
+            vm.host,
+            vm.port,
+            vm.availability_zone,
+            vm.size.link_mbps,
+            vm.size.cores,
+        )
     )
 
 
--- a/berylweir/platform/settings.py
+++ b/berylweir/platform/settings.py
@@ -24,6 +24,14 @@
     addr: str
 
 
+class _Limits(msgspec.Struct, frozen=True, rename="camel"):
+    # Part of each core's time that the VM gets.
+    cpu_share: float = 0.0
+    # How many times as fast as a usual core its core is, as threads take turns.
+    cores: float = 0.0
+    link_mbps: float = 0.0
+
+
 class _Settings(msgspec.Struct, frozen=True, rename="camel"):
     node: str
     ip: str
@@ -32,6 +40,7 @@
     listen: _Listen
     infra: _Infra
     bounds: list[str] = []
+    limits: _Limits = _Limits()
 
 
 class StoreAddress:
@@ -102,6 +111,10 @@
                 peer_port=raw.port_range[0],
                 store_address=_address(raw.infra.addr),
                 bounds=_bounds(raw.bounds),
+                size=models.VmSize(
+                    raw.limits.link_mbps,
+                    raw.limits.cpu_share * raw.limits.cores,
+                ),
             )
         )
     except (tomllib.TOMLDecodeError, msgspec.MsgspecError, ValueError) as error:
--- /dev/null
+++ b/tests/gateway/ownership/test_election.py
@@ -0,0 +1,41 @@
+"""Tests of who takes the lease next."""
+
+from berylweir.gateway import models
+from berylweir.gateway.ownership import election
+
+
+def vm(name: str, link_mbps: float) -> models.Vm:
+    """Returns a gateway on a VM of some size."""
+    size = models.VmSize(link_mbps)
+    return models.Vm(name, f"run-{name}", "127.0.0.1", 1, "a", 1, size)
+
+
+class TestRank:
+    """The order of succession."""
+
+    def order(self, vms: dict[str, models.Vm], epoch: int) -> list[str]:
+        """Returns the names in their order, without the holder."""
+        found = {
+            election.rank(me, vms, "v0", epoch): name
+            for name, me in vms.items()
+            if name != "v0"
+        }
+        return [found[place] for place in sorted(found)]
+
+    def test_large_vms_come_first(self):
+        """Guards against a small VM that grants all keys."""
+        vms = {
+            f"v{i}": vm(f"v{i}", 100.0 if i >= 80 else 5.0) for i in range(90)
+        }
+        order = self.order(vms, 1)
+        assert len(order) == 89
+        assert set(order[:10]) == {f"v{i}" for i in range(80, 90)}
+
+    def test_equals_come_first_in_turn(self):
+        """Guards against a VM that is down and always comes first."""
+        vms = {f"v{i}": vm(f"v{i}", 5.0) for i in range(10)}
+        assert len({self.order(vms, epoch)[0] for epoch in range(20)}) > 3
+
+    def test_a_gateway_that_is_not_known_yet_has_a_place(self):
+        """Guards against a lease that nobody takes at a first start."""
+        assert election.rank(vm("me", 5.0), {}, "", 0) == 0
--- a/tests/gateway/test_followers.py
+++ b/tests/gateway/test_followers.py
@@ -81,9 +81,13 @@
         assert found.objects[0].revision == 5
 
 
-def vm(name: str, registered: int) -> models.Vm:
+def vm(
+    name: str, registered: int, zone: str = "a", link_mbps: float = 0.0
+) -> models.Vm:
     """Returns a gateway that registered at a revision."""
-    return models.Vm(name, f"run-{name}", "127.0.0.1", 1, "a", registered)
+    size = models.VmSize(link_mbps)
+    run = f"run-{name}"
+    return models.Vm(name, run, "127.0.0.1", 1, zone, registered, size)
 
 
 class Followed:
@@ -270,6 +274,26 @@
                 watchers.append(found.name)
         assert watchers == ["v6", "v7", "v8", "v9"]
 
+    def test_large_vms_watch_and_tell_their_own_zones(self):
+        """Guards against slow links and bytes between zones."""
+        vms = {
+            f"v{i}": vm(f"v{i}", i, "abc"[i % 3], 100.0 if i >= 24 else 5.0)
+            for i in range(30)
+        }
+        watchers = {}
+        followed = collections.Counter()
+        for found in vms.values():
+            known = sources.Sources(found)
+            known.see_vms(vms)
+            if known.is_watcher(0.0):
+                watchers[found.name] = found.availability_zone
+                continue
+            source = known.choose(0.0, slot=0, taken=())
+            assert source is not None
+            followed[source.availability_zone == found.availability_zone] += 1
+        assert watchers == {"v24": "a", "v25": "b", "v26": "c", "v27": "a"}
+        assert followed == {True: 26}
+
     def test_the_next_one_watches_in_place_of_a_silent_one(self):
         """Guards against fewer and fewer watchers."""
         vms = {f"v{i}": vm(f"v{i}", i) for i in range(10)}
--- a/tests/platform/test_settings.py
+++ b/tests/platform/test_settings.py
@@ -4,6 +4,7 @@
 
 import result
 
+from berylweir.gateway import models
 from berylweir.platform import settings
 
 _TEXT = """
@@ -16,6 +17,11 @@
 [listen]
 front = "10.1.0.15:8641"
 ready = "10.1.0.15:8640"
+[limits]
+cpuShare = 0.4
+cores = 2
+linkMbps = 100.0
+diskMb = 0
 [infra]
 addr = "10.200.1.7:8642"
 """
@@ -32,6 +38,7 @@
         assert found.bounds.retry_ratio == 0.25
         assert found.bounds.grace_s == 6.0
         assert found.bounds.retry_slack == 60.0
+        assert found.size == models.VmSize(link_mbps=100.0, cores=0.8)
 
     def test_each_fault_names_the_file(self):
         """Guards against a failure that doesn't say where to look."""
