Wait for an owner as long as for a place

Change: it waits as long as for room at a server, 0.8 s at least.

test_a_request_waits_for_keys_that_move failed before (503).

--- a/berylweir/gateway/exchange/service.py
+++ b/berylweir/gateway/exchange/service.py
@@ -19,8 +19,8 @@
 # Part of the goal for which a request waits for a place at a server. Longer
 # waits are better spent by the caller, who can ask another VM.
 _PATIENCE = 0.6
-# Longest wait for the owner of a key, in seconds: a move takes one running
-# request and two calls.
+# Wait for the owner of a key at least, in seconds: a move takes the longest
+# running request and two calls.
 _OWNER_PATIENCE_S = 0.8
 # Failed attempts to connect after which a request is refused.
 _MAX_UNSENT = 3
@@ -186,7 +186,9 @@
             tried=progress.tried,
             disowned=progress.disowned,
             expires_s=min(deadline_s, now_s + patience_s),
-            owner_expires_s=min(deadline_s, now_s + _OWNER_PATIENCE_S),
+            owner_expires_s=min(
+                deadline_s, now_s + max(_OWNER_PATIENCE_S, patience_s)
+            ),
             deadline_s=deadline_s,
         )
 
--- a/berylweir/standin/fleet/server.py
+++ b/berylweir/standin/fleet/server.py
@@ -214,6 +214,7 @@
     kind: str = "safe",
     attempts: int = 2,
     timeout_ms: int = 2000,
+    goal_ms: int = 400,
     split: list[dict[str, object]] | None = None,
 ) -> dict[str, object]:
     """Returns a route whose prefix is its name."""
@@ -222,7 +223,7 @@
         "pathPrefix": f"/{name}/",
         "type": kind,
         "timeoutMs": timeout_ms,
-        "goalMs": 400,
+        "goalMs": goal_ms,
         "prio": 1,
         "attempts": attempts,
     }
--- a/tests/gateway/test_keyed_path.py
+++ b/tests/gateway/test_keyed_path.py
@@ -79,6 +79,33 @@
             )
             assert "release" in running.servers["s0"].orders
 
+    async def test_a_request_waits_for_keys_that_move(self):
+        """Guards against a refusal that a short wait would have saved."""
+        async with deployment(servers=2) as running:
+            route = rig.route("k", "slots", timeout_ms=8000, goal_ms=4000)
+            await running.configure({"slots": True}, [route], 2)
+            gateway = running.gateways[0]
+            (name,) = owners(running, 9000)
+            running.servers[name].work_s = 1.5
+            first = asyncio.create_task(
+                gateway.ask(
+                    "/k/1",
+                    "a",
+                    headers="Shard-Key: 9000\r\n",
+                    deadline_ms=8000,
+                )
+            )
+            await rig.until(lambda: running.servers[name].running == 1)
+            spec = running.store.get("servers", name)["spec"]
+            leaving = spec | {"status": spec["status"] | {"state": "draining"}}
+            await running.store.put("servers", name, leaving)
+            await rig.until(lambda: not owners(running, 9000))
+            second = await gateway.ask(
+                "/k/2", "b", headers="Shard-Key: 9000\r\n", deadline_ms=8000
+            )
+            assert second.status == 200
+            assert (await first).status == 200
+
     async def test_another_gateway_takes_a_lost_holders_place(self):
         """Guards against keys that nobody grants after a crash."""
         async with deployment(gateways=3) as running:
