Let lives end with their address

Cause: the entry of a server that crashed stays for three heartbeats. Another server may register its address meanwhile; the keeper went on granting to the former one, and made its connection anew after each change of entries.

Change: a life whose address a server of a known group has taken, started 5 s later or more, has ended: it holds nothing and owns no keys. Entries of unknown groups are passed over by the keeper.

--- a/berylweir/gateway/ownership/granting.py
+++ b/berylweir/gateway/ownership/granting.py
@@ -11,6 +11,7 @@
 from berylweir.gateway import models
 from berylweir.gateway.ownership import courier
 from berylweir.gateway.ownership import holds
+from berylweir.gateway.ownership import lives
 from berylweir.observability import counters
 from berylweir.platform import grants
 
@@ -67,6 +68,7 @@
         self._on_lapsed = on_lapsed
         self._metrics = metrics
         self._servers: Mapping[str, models.BackendServer] = {}
+        self._ended: frozenset[models.Life] = frozenset()
         self._couriers: dict[models.Life, courier.Courier] = {}
         self._locks: dict[models.Life, asyncio.Lock] = {}
         self._holds = holds.Holds()
@@ -111,21 +113,28 @@
     def see_servers(self, servers: Mapping[str, models.BackendServer]) -> None:
         """Takes the known backend servers."""
         self._servers = servers
-        taken = {(s.host, s.port): s.life for s in servers.values()}
+        self._ended = lives.ended(servers.values())
+        taken = {
+            (s.host, s.port): s.life
+            for s in servers.values()
+            if s.life not in self._ended
+        }
         for life, found in list(self._couriers.items()):
             if taken.get(found.address, life) != life:
                 # The address belongs to another server by now.
                 found.close()
                 del self._couriers[life]
         for server in servers.values():
-            if server.life not in self._couriers:
+            if server.life not in self._couriers.keys() | self._ended:
                 self._couriers[server.life] = courier.Courier(
                     server.name, server.host, server.port
                 )
 
     def is_lapsed(self, life: models.Life) -> bool:
-        """Returns whether a server stopped answering and holds nothing."""
-        return self._holds.is_lapsed(life, clock.boot_s())
+        """Returns whether a server is lost and holds nothing."""
+        return self._has_ended(life) or self._holds.is_lapsed(
+            life, clock.boot_s()
+        )
 
     def is_cleared(self, group: str, found: models.KeyRange) -> bool:
         """Returns whether the former owner of a range holds none of it."""
@@ -310,9 +319,8 @@
         Returns:
             What the next owner needs to be warm, if the former gave it.
         """
-        current = self._servers.get(former.server)
-        if current is not None and current.born_ms != former.born_ms:
-            return None  # the life has ended: another one has its id
+        if self._has_ended(former):
+            return None
         async with self._lock(former):
             # No renewal of the range is under way, and none will follow.
             frozen_s = self._holds.of(former).until_s
@@ -323,7 +331,7 @@
             # The bound on a former keeper's grants may still be shortened.
             return frozen_s if is_fenced else self._holds.until_s(former)
 
-        while clock.boot_s() < until_s():
+        while clock.boot_s() < until_s() and not self._has_ended(former):
             sender = self._couriers.get(former)
             if sender is not None:
                 delivery = await sender.deliver(
@@ -339,6 +347,13 @@
             )
         return None
 
+    def _has_ended(self, life: models.Life) -> bool:
+        """Returns whether another life has its id or its address."""
+        current = self._servers.get(life.server)
+        return life in self._ended or (
+            current is not None and current.born_ms != life.born_ms
+        )
+
     def _lock(self, life: models.Life) -> asyncio.Lock:
         return self._locks.setdefault(life, asyncio.Lock())
 
--- /dev/null
+++ b/berylweir/gateway/ownership/lives.py
@@ -0,0 +1,28 @@
+"""Which lives of backend servers have certainly ended."""
+
+from collections.abc import Iterable
+
+from berylweir.gateway import models
+
+# Starts of two servers must lie this far apart to tell which was later, in ms:
+# the time of day differs between machines.
+_MIN_APART_MS = 5000
+
+
+def ended(servers: Iterable[models.BackendServer]) -> frozenset[models.Life]:
+    """Returns the lives whose address a later server has taken over.
+
+    An address passes on only after its server has ended. The entry of a server
+    that crashed stays for some seconds.
+    """
+    by_address: dict[tuple[str, int], list[models.BackendServer]] = {}
+    for server in servers:
+        by_address.setdefault((server.host, server.port), []).append(server)
+    return frozenset(
+        server.life
+        for sharing in by_address.values()
+        for server in sharing
+        if any(
+            server.born_ms + _MIN_APART_MS <= other.born_ms for other in sharing
+        )
+    )
--- a/berylweir/gateway/ownership/task.py
+++ b/berylweir/gateway/ownership/task.py
@@ -91,6 +91,7 @@
         self._dispatcher = dispatcher
         self._metrics = metrics
         self._groups: Mapping[str, models.ServerGroup] = {}
+        self._servers: Mapping[str, models.BackendServer] = {}
         self._tables: dict[str, models.KeyTable] = {}
         self._raised: set[str] = set()
         self._demand: dict[str, demand.DemandMeter] = {}
@@ -166,9 +167,10 @@
             match await self._inbox.get():
                 case messages.ConfigurationInForce(configuration):
                     self._groups = configuration.groups
+                    self._see_servers()
                 case messages.ServersInForce(servers):
-                    self._candidates.see_servers(servers)
-                    self._granter.see_servers(servers)
+                    self._servers = servers
+                    self._see_servers()
                 case messages.EvacuationsInForce(zones):
                     self._candidates.see_evacuations(zones)
                 case messages.VmsInForce(vms):
@@ -180,6 +182,16 @@
                     self._see_table(table)
             self._wake.set()
 
+    def _see_servers(self) -> None:
+        """Passes on the servers; an entry of an unknown group names none."""
+        servers = {
+            name: server
+            for name, server in self._servers.items()
+            if server.group in self._groups
+        }
+        self._candidates.see_servers(servers)
+        self._granter.see_servers(servers)
+
     def _see_table(self, table: models.KeyTable) -> None:
         known = self._tables.get(table.group)
         if known is None or table.revision > known.revision:
--- a/tests/gateway/test_keyed_path.py
+++ b/tests/gateway/test_keyed_path.py
@@ -193,6 +193,32 @@
             assert any(lost.holds(key) for key in KEYS)
             await rig.until(lambda: all_owned(running))
 
+    async def test_keys_of_a_reused_address_move_at_once(self):
+        """Guards against waiting for a grant whose server has ended."""
+        async with deployment() as running:
+            await running.configure(
+                {"slots": True, "other": False}, [rig.route("k", "slots")], 2
+            )
+            lost = running.servers.pop("s1")
+            lost.order_delay = lambda: 3600.0
+            until_s = max(h.until_s for h in lost._holds.values())
+            port = running.ports["s1"]
+            other = fleet.entry("o1", "other", port, born_ms=100_000)
+            await running.store.put("servers", "o1", other)
+            await rig.until(lambda: all_owned(running))
+            assert time.monotonic() < until_s
+
+    async def test_an_entry_of_an_unknown_group_takes_no_address(self):
+        """Guards against a second owner beside a server that lives."""
+        async with deployment() as running:
+            before = running.store.get("berylweir-keys", "slots")["meta"]["rev"]
+            port = running.ports["s1"]
+            forged = fleet.entry("o1", "unknown", port, born_ms=100_000)
+            await running.store.put("servers", "o1", forged)
+            await asyncio.sleep(1.5)
+            after = running.store.get("berylweir-keys", "slots")["meta"]["rev"]
+            assert after == before
+
     async def test_keys_of_a_frozen_server_find_an_owner(self):
         """Guards against grants without an answer that go on for ever."""
         async with deployment() as running:
