Serve in the own zone what it can serve in time

Change: servers of the own zone that are expected to respond within half of the goal (a download: 0.7) are used first.

--- a/berylweir/gateway/dispatch/decisions.py
+++ b/berylweir/gateway/dispatch/decisions.py
@@ -16,6 +16,10 @@
 # are charged, and downloads are most of the bytes.
 _OTHER_ZONE_FACTOR = 1.15
 _OTHER_ZONE_DOWNLOAD_FACTOR = 1.6
+# Part of the goal within which a server of the own zone is expected to respond
+# for the other zones to be left alone: of a small response, and of a download.
+_NEAR_SHARE = 0.5
+_NEAR_DOWNLOAD_SHARE = 0.7
 # Servers that are compared for one request. More of them cost processor time
 # and hardly shorten the wait.
 _SAMPLE = 32
@@ -76,15 +80,20 @@
     now_s: float,
     chance: random.Random,
     *,
+    goal_ms: float,
     is_download: bool,
 ) -> dispatch.ServerState | None:
     """Returns the server with the shortest expected time.
 
+    Servers of other zones are compared only if none of the own zone is likely
+    to meet the goal.
+
     Args:
         candidates: Servers that may get the request.
         availability_zone: Zone of this VM.
         now_s: Time on the loop's clock, in seconds.
         chance: Source of the random part.
+        goal_ms: Time within which a response earns its full credit.
         is_download: Whether the response is large.
     """
     free = [c for c in candidates if not is_full(c, now_s)]
@@ -97,6 +106,13 @@
     known = [c.service_ms for c in candidates if c.service_ms]
     typical_ms = sum(known) / len(known) if known else 0.0
     factor = _OTHER_ZONE_DOWNLOAD_FACTOR if is_download else _OTHER_ZONE_FACTOR
+    near_share = _NEAR_DOWNLOAD_SHARE if is_download else _NEAR_SHARE
+    near = [
+        c
+        for c in preferred
+        if c.server.availability_zone == availability_zone
+        and expected_ms(c, now_s, typical_ms) <= near_share * goal_ms
+    ]
 
     def cost(state: dispatch.ServerState) -> float:
         cost_ms = expected_ms(state, now_s, typical_ms)
@@ -104,7 +120,7 @@
             cost_ms *= factor
         return cost_ms * (1.0 + _JITTER * chance.random())
 
-    return min(preferred, key=cost)
+    return min(near or preferred, key=cost)
 
 
 def owner_of(table: models.KeyTable, key: int) -> models.Life | None:
--- a/berylweir/gateway/dispatch/task.py
+++ b/berylweir/gateway/dispatch/task.py
@@ -260,6 +260,7 @@
             self._zone,
             now_s,
             self._random,
+            goal_ms=wanted.goal_ms,
             is_download=wanted.is_download,
         )
         if state is None:
--- a/berylweir/gateway/exchange/service.py
+++ b/berylweir/gateway/exchange/service.py
@@ -181,6 +181,7 @@
             is_repeatable=(
                 route.repeatability is models.Repeatability.IDEMPOTENT
             ),
+            goal_ms=route.goal_ms,
             is_download=route.is_download,
             is_repeat=progress.sends > 0,
             tried=progress.tried,
--- a/berylweir/gateway/messages.py
+++ b/berylweir/gateway/messages.py
@@ -77,6 +77,7 @@
         key: Key, if the group's servers own keys.
         priority: 0 is the most urgent.
         is_repeatable: Whether the request may run more than once.
+        goal_ms: Time within which a response earns its full credit.
         is_download: Whether the response is large.
         is_repeat: Whether the request was sent to a server before.
         tried: Servers that it was sent to.
@@ -92,6 +93,7 @@
     key: int | None
     priority: int
     is_repeatable: bool
+    goal_ms: float
     is_download: bool
     is_repeat: bool
     tried: frozenset[models.Life]
--- a/tests/gateway/dispatch/test_state.py
+++ b/tests/gateway/dispatch/test_state.py
@@ -27,7 +27,7 @@
 ) -> None:
     """Ends a request at a server."""
     wanted = messages.Wanted(
-        "a", "g", None, 1, True, False, False, frozenset(), None, 1, 1, 1
+        "a", "g", None, 1, True, 400.0, False, False, frozenset(), None, 1, 1, 1
     )
     placement = messages.Placement(state.server, None, now_s, placed_at)
     state.begin()
@@ -94,12 +94,63 @@
             finish(states[0], messages.Evidence.FAILED, 1.0)
         chance = random.Random(1)
         chosen = [
-            decisions.choose(states, "a", 1.1, chance, is_download=False)
+            decisions.choose(
+                states, "a", 1.1, chance, goal_ms=400.0, is_download=False
+            )
             for _ in range(50)
         ]
         assert all(c is not states[0] for c in chosen)
 
 
+class TestChoose:
+    """Which of some servers takes a request."""
+
+    def zones_chosen(
+        self, load: int, *, goal_ms: float, is_download: bool
+    ) -> set[str]:
+        """Returns the zones of the servers that requests of zone a go to.
+
+        Args:
+            load: Requests at each server of zone a; those of zone b are idle.
+            goal_ms: Goal of the requests.
+            is_download: Whether their responses are large.
+        """
+        states = [
+            dispatch.ServerState(server(f"{zone}{i}", zone))
+            for zone in "ab"
+            for i in range(3)
+        ]
+        for state in states:
+            near = state.server.availability_zone == "a"
+            report = models.Load(load if near else 0, 0, 3, 1.0)
+            finish(state, messages.Evidence.SERVED, 1.0, load=report)
+        chance = random.Random(1)
+        chosen = [
+            decisions.choose(
+                states,
+                "a",
+                1.0,
+                chance,
+                goal_ms=goal_ms,
+                is_download=is_download,
+            )
+            for _ in range(50)
+        ]
+        return {c.server.availability_zone for c in chosen if c is not None}
+
+    def test_the_own_zone_serves_what_it_can_in_time(self):
+        """Guards against bytes between zones that serve nobody sooner."""
+        for is_download in (False, True):
+            found = self.zones_chosen(3, goal_ms=400, is_download=is_download)
+            assert found == {"a"}
+
+    def test_another_zone_serves_what_would_be_late(self):
+        """Guards against a busy zone beside an idle one."""
+        for is_download in (False, True):
+            found = self.zones_chosen(6, goal_ms=250, is_download=is_download)
+            assert found == {"b"}
+
+
 class TestRejections:
     """Servers that reject requests because they are full."""
 
