End asks whose socket was closed

Cause: when the client of other gateways is closed, a request that waits closes its channel a second time and raised pynng.Closed; the task ended with an error that nobody took. Its report at the next garbage collection parsed a traceback while tests/docs/test_metrics.py parsed a module, which failed once with "SystemError: AST constructor recursion depth mismatch".

Change: the second close is no error. test_a_request_fails_when_the_client_is_ closed failed before. A run of four test files printed nine such reports before; tests/gateway/test_relay.py with tests/docs prints none after.

--- a/berylweir/gateway/peers/task.py
+++ b/berylweir/gateway/peers/task.py
@@ -4,6 +4,7 @@
 import collections
 from collections.abc import Awaitable
 from collections.abc import Callable
+import contextlib
 import logging
 
 import pynng
@@ -168,7 +169,8 @@
                 del self._sockets[address]
             return result.Err(exceptions.PeerSilent(vm.name, repr(error)))
         finally:
-            channel.close()
+            with contextlib.suppress(pynng.Closed):
+                channel.close()  # it may have been closed with its socket
             self._release(address, socket)
         return messages.decode_reply(data)
 
