Have the spare source say only that there is news

Cause: a gateway holds requests at two watchers, and both told it each change.

Change: the second one says up to which revision it knows the kinds that changed; they are asked for if the first hasn't told them 0.9 s later, longer than the pause between two watches.

test_each_change_is_told_once counts the messages.

--- a/berylweir/gateway/followers/feed.py
+++ b/berylweir/gateway/followers/feed.py
@@ -36,20 +36,40 @@
 
     async def answer(self, request: peers.AskChanges) -> peers.Changes:
         """Returns what changed, when something did or the time is over."""
+        await self._wait(request.revisions)
+        if not self.is_current:
+            return peers.Changes(is_current=False)
+        kinds = [
+            changes
+            for kind, revision in request.revisions.items()
+            if kind in self._followed
+            and (changes := self._followed[kind].changes_since(revision))
+        ]
+        return peers.Changes(True, kinds)
+
+    async def answer_news(self, request: peers.AskNews) -> peers.News:
+        """Returns which kinds changed, when one did or the time is over."""
+        await self._wait(request.revisions)
+        if not self.is_current:
+            return peers.News(is_current=False)
+        return peers.News(True, self._news(request.revisions))
+
+    def _news(self, known: Mapping[str, int]) -> dict[str, int]:
+        return {
+            kind: self._followed[kind].revision
+            for kind, revision in known.items()
+            if kind in self._followed
+            and self._followed[kind].has_news(revision)
+        }
+
+    async def _wait(self, known: Mapping[str, int]) -> None:
+        """Waits for news, the loss of the store, or the end of the time."""
         loop = asyncio.get_running_loop()
         until_s = loop.time() + HOLD_S
-        while True:
-            if not self.is_current:
-                return peers.Changes(is_current=False)
-            kinds = [
-                changes
-                for kind, revision in request.revisions.items()
-                if kind in self._followed
-                and (changes := self._followed[kind].changes_since(revision))
-            ]
+        while self.is_current and not self._news(known):
             left_s = until_s - loop.time()
-            if kinds or left_s <= 0:
-                return peers.Changes(True, kinds)
+            if left_s <= 0:
+                return
             waiting: asyncio.Future[None] = loop.create_future()
             self._waiting.add(waiting)
             try:
--- a/berylweir/gateway/followers/history.py
+++ b/berylweir/gateway/followers/history.py
@@ -36,6 +36,12 @@
                 self._complete_from, self._changes.popleft()[0]
             )
 
+    def has_news(self, revision: int) -> bool:
+        """Returns whether there are changes after a revision, or may be."""
+        if self._complete_from is None or revision < self._complete_from:
+            return True
+        return bool(self._changes) and self._changes[-1][0] > revision
+
     def since(self, revision: int) -> list[store.Change] | None:
         """Returns the changes after a revision; None if some are forgotten."""
         if self._complete_from is None or revision < self._complete_from:
--- a/berylweir/gateway/followers/relay.py
+++ b/berylweir/gateway/followers/relay.py
@@ -1,6 +1,8 @@
 """Decides whether this gateway watches the store or follows those that do."""
 
 import asyncio
+from collections.abc import Awaitable
+from collections.abc import Callable
 from collections.abc import Mapping
 import contextlib
 import logging
@@ -14,15 +16,19 @@
 from berylweir.gateway.followers import sharing
 from berylweir.gateway.followers import sources
 from berylweir.gateway.followers import task as followers
+from berylweir.gateway.peers import exceptions
 from berylweir.gateway.peers import messages as peers
 from berylweir.gateway.peers import task as peer_task
+from berylweir.observability import counters
 from berylweir.platform import objects
 from berylweir.supervision import models as supervision
 
 _LOGGER = logging.getLogger(__name__)
-# Gateways that are followed at the same time, so that the loss of one delays
-# nothing.
-_FOLLOWED = 2
+# Numbers of the two gateways that are followed.
+_SOURCE, _SPARE = range(2)
+# Time for the source to tell of changes that the spare one knows, in seconds;
+# longer than the pause after which a kind is watched again.
+_SPARE_S = 0.9
 # Time without news from any source after which this gateway watches the store
 # itself, in seconds. Configuration must be in force 2.5 s after its change.
 _STALE_S = 1.3
@@ -44,6 +50,7 @@
         client: peer_task.PeerClient,
         followed: Mapping[str, followers.Follower],
         registered: asyncio.Event,
+        metrics: counters.Counters,
     ) -> None:
         """Creates a relay.
 
@@ -52,10 +59,12 @@
             client: Asks other gateways.
             followed: The followers of this gateway by kind.
             registered: Set once this gateway has tried to register.
+            metrics: Counters.
         """
         self._client = client
         self._followed = followed
         self._registered = registered
+        self._metrics = metrics
         self._sources = sources.Sources(me)
         self._changed = asyncio.Event()
         self._heard_s = float("-inf")
@@ -90,8 +99,9 @@
                 await self._registered.wait()
         self._heard_s = self._now_s()
         async with asyncio.TaskGroup() as group:
-            for slot in range(_FOLLOWED):
-                group.create_task(self._follow(slot))
+            # The loss of one source delays nothing.
+            group.create_task(self._follow(_SOURCE, self._ask))
+            group.create_task(self._follow(_SPARE, self._ask_spare))
             while True:
                 self._changed.clear()
                 self._decide()
@@ -141,14 +151,15 @@
         return all(f.is_known for f in self._followed.values())
 
     def _needs_source(self, slot: int) -> bool:
-        if slot > 0 and not self._knows_all():
-            # All objects are wanted only once.
+        if slot == _SPARE and not self._knows_all():
             return False
         if not self._sources.is_watcher(self._now_s()):
             return True
         return self._contact.is_failing
 
-    async def _follow(self, slot: int) -> None:
+    async def _follow(
+        self, slot: int, ask: Callable[[models.Vm], Awaitable[None]]
+    ) -> None:
         while True:
             vm = None
             if self._needs_source(slot):
@@ -160,24 +171,51 @@
                 continue
             self._taken[slot] = vm
             try:
-                await self._ask(vm)
+                await ask(vm)
             finally:
                 del self._taken[slot]
 
     async def _ask(self, vm: models.Vm) -> None:
-        request = peers.AskChanges(
-            {
-                kind: max(follower.revision, self._received.get(kind, 0))
-                for kind, follower in self._followed.items()
-            }
-        )
+        """Follows a source."""
+        request = peers.AskChanges(self._known())
+        reply = await self._client.ask(vm, request, hold_s=feed.HOLD_S)
+        self._take(vm, reply)
+
+    async def _ask_spare(self, vm: models.Vm) -> None:
+        """Follows a spare source: what the other one tells isn't sent twice."""
+        request = peers.AskNews(self._known())
         reply = await self._client.ask(vm, request, hold_s=feed.HOLD_S)
+        self._take(vm, reply)
+        match reply:
+            case result.Ok(peers.News(True, revisions)) if revisions:
+                await asyncio.sleep(_SPARE_S)
+                known = self._known()
+                if any(known[kind] < revisions[kind] for kind in revisions):
+                    await self._ask(vm)
+            case _:
+                pass
+
+    def _known(self) -> dict[str, int]:
+        """Returns the revision up to which each kind is known."""
+        return {
+            kind: max(follower.revision, self._received.get(kind, 0))
+            for kind, follower in self._followed.items()
+        }
+
+    def _take(
+        self,
+        vm: models.Vm,
+        reply: result.Result[peers.Reply, exceptions.PeerFailure],
+    ) -> None:
         match reply:
             case result.Ok(peers.Changes(True, kinds)):
                 self._sources.note_current(vm)
                 self._heard_s = self._now_s()
                 for changes in kinds:
                     self._receive(vm, changes)
+            case result.Ok(peers.News(True)):
+                self._sources.note_current(vm)
+                self._heard_s = self._now_s()
             case result.Ok(_):
                 self._sources.note_unfit(vm, self._now_s())
             case result.Err(failure):
@@ -192,6 +230,7 @@
         follower = self._followed.get(changes.kind)
         if follower is None:
             return
+        self._metrics.count(f"relay.told.{changes.kind}")
         match sharing.receive(vm, changes):
             case result.Ok(received):
                 self._received[changes.kind] = max(
--- a/berylweir/gateway/followers/task.py
+++ b/berylweir/gateway/followers/task.py
@@ -115,6 +115,10 @@
         """Revision up to which the kind is known; 0 if it isn't."""
         return self._state.revision
 
+    def has_news(self, revision: int) -> bool:
+        """Returns whether something changed after a revision."""
+        return self._history.has_news(revision)
+
     def changes_since(self, revision: int) -> peers.KindChanges | None:
         """Returns what changed after a revision; None if nothing did."""
         changes = self._history.since(revision)
--- a/berylweir/gateway/ownership/task.py
+++ b/berylweir/gateway/ownership/task.py
@@ -153,6 +153,7 @@
             case (
                 peers.AskView()
                 | peers.AskChanges()
+                | peers.AskNews()
                 | peers.AskStanding()
                 | peers.TellTable()
                 | peers.TellTableChanges()
--- a/berylweir/gateway/peers/messages.py
+++ b/berylweir/gateway/peers/messages.py
@@ -62,6 +62,16 @@
     revisions: dict[str, int]
 
 
+class AskNews(msgspec.Struct, frozen=True, tag="news"):
+    """Asks whether something changed in the store; answered when it did.
+
+    Attributes:
+        revisions: Revision up to which each kind is known; 0 if it isn't.
+    """
+
+    revisions: dict[str, int]
+
+
 class KindChanges(msgspec.Struct, frozen=True, array_like=True):
     """What changed in a kind.
 
@@ -93,6 +103,18 @@
     kinds: list[KindChanges] = []
 
 
+class News(msgspec.Struct, frozen=True, tag="has_news"):
+    """Says what changed in the store, without the changes.
+
+    Attributes:
+        is_current: Whether the gateway watches the store and reaches it.
+        revisions: Revision up to which it knows each kind that changed.
+    """
+
+    is_current: bool
+    revisions: dict[str, int] = {}
+
+
 class TellTable(msgspec.Struct, frozen=True, tag="table"):
     """Brings a key table that was just written."""
 
@@ -147,10 +169,11 @@
     | AskView
     | AskStanding
     | AskChanges
+    | AskNews
     | TellTable
     | TellTableChanges
 )
-Reply = Standing | View | Changes
+Reply = Standing | View | Changes | News
 
 _ENCODER = msgspec.msgpack.Encoder()
 _REQUESTS = msgspec.msgpack.Decoder(Request)
--- a/berylweir/gateway/supervisor.py
+++ b/berylweir/gateway/supervisor.py
@@ -85,7 +85,9 @@
     registered = registration.Registration(me, client())
     followed: dict[str, followers.Follower] = {}
     changes = feed.Feed(followed)
-    relayed = relay.Relay(me, peer_client, followed, registered.attempted)
+    relayed = relay.Relay(
+        me, peer_client, followed, registered.attempted, metrics
+    )
     posts.append(relayed.see)
 
     def on_contact() -> None:
@@ -127,6 +129,8 @@
                 return peer_messages.View(kind, 0, sharing.pack_objects([]))
             case peer_messages.AskChanges():
                 return await changes.answer(request)
+            case peer_messages.AskNews():
+                return await changes.answer_news(request)
             case _:
                 return await keeper.answer(request)
 
--- a/tests/gateway/test_relay.py
+++ b/tests/gateway/test_relay.py
@@ -31,6 +31,14 @@
                 await asyncio.sleep(0.02)
 
 
+def told(gateways: list[rig.Gateway]) -> int:
+    """Returns how often gateways were told of a configuration."""
+    return sum(
+        gateway.metrics.counts.get("relay.told.config", 0)
+        for gateway in gateways
+    )
+
+
 class TestRelay:
     """More gateways than may watch the store."""
 
@@ -72,6 +80,18 @@
             getattr(running, fault).update(lost)
             await change_route(running, "r2", 2, gateways)
 
+    async def test_each_change_is_told_once(self):
+        """Guards against bytes between zones for what is known already."""
+        async with rig.Rig() as running:
+            gateways = await self.started(running)
+            await asyncio.sleep(1.5)
+            before = told(gateways)
+            for version in range(2, 6):
+                await change_route(running, f"r{version}", version, gateways)
+                await asyncio.sleep(1.0)
+            followers = len(gateways) - sources.WATCHERS
+            assert told(gateways) - before == 4 * followers
+
     async def test_lost_watchers_are_replaced(self):
         """Guards against old configuration once watchers are gone."""
         async with rig.Rig() as running:
