Move busy keys in parts

Change: a move is split so that less than one request runs on a part on average, into six at most; parts without any are released at once.

--- a/berylweir/gateway/ownership/balance.py
+++ b/berylweir/gateway/ownership/balance.py
@@ -3,6 +3,7 @@
 import bisect
 from collections.abc import Sequence
 import dataclasses
+import math
 
 from berylweir.gateway import models
 from berylweir.gateway.ownership import models as ownership
@@ -24,6 +25,10 @@
 _UNKNOWN_SERVICE_MS = 100.0
 # Ranges for each server on average; each range is one more call a renewal.
 _MAX_RANGES_PER_SERVER = 6
+# Parts of a move at most, and requests that run on the keys of a part on
+# average.
+_MAX_PARTS = 6
+_RUNNING_PER_PART = 0.4
 # Largest factor by which failures make a server count as busier.
 _MAX_FAILURE_FACTOR = 4.0
 
@@ -85,7 +90,7 @@
         if move is None:
             break
         moves.append(move)
-    return tuple(moves)
+    return tuple(part for move in moves for part in _split(plan, move))
 
 
 def _start(
@@ -133,6 +138,26 @@
     return moves
 
 
+def _split(plan: _Plan, move: ownership.Move) -> list[ownership.Move]:
+    """Returns parts of a move that are released one by one.
+
+    A release waits for the requests that run on its keys. Parts without any
+    move at once.
+    """
+    running = plan.rate(move.first, move.last) * plan.typical_ms / 1000.0
+    parts = min(_MAX_PARTS, math.ceil(running / _RUNNING_PER_PART))
+    share = plan.rate(move.first, move.last) / max(1, parts)
+    moves = []
+    first = move.first
+    while first <= move.last:
+        last = move.last
+        if len(moves) + 1 < parts:
+            last = _cut(plan, first, move.last, share)
+        moves.append(ownership.Move(first, last, move.target))
+        first = last + 1
+    return moves
+
+
 def _mean_load_after(plan: _Plan) -> float:
     total = plan.rate(0, models.KEY_COUNT - 1)
     capacity = sum(1.0 / plan.cost(life) for life in plan.loads)
--- a/tests/gateway/ownership/test_balance.py
+++ b/tests/gateway/ownership/test_balance.py
@@ -106,6 +106,31 @@
         found = loads(table, demand)
         assert max(found) <= 45
 
+    def test_busy_keys_of_a_leaving_server_move_in_parts(self):
+        """Guards against keys that wait for a request on other keys."""
+        table = tables.create("g", _LIVES, 1)
+        demand = ownership.Demand(
+            {key: 1.0 for key in range(0, 16_384, 512)}, 0
+        )
+        moves = balance.plan_moves(
+            table, candidates(100, 100, 100, 100)[1:], demand, evens_out=False
+        )
+        parts = [
+            sum(
+                rate
+                for k, rate in demand.rates.items()
+                if m.first <= k <= m.last
+            )
+            for m in moves
+        ]
+        assert sum(m.last - m.first + 1 for m in moves) == 16_384
+        assert max(parts) <= 6.0
+        idle = ownership.Demand({}, 0.0001)
+        moves = balance.plan_moves(
+            table, candidates(100, 100, 100, 100)[1:], idle, evens_out=False
+        )
+        assert len(moves) <= 4
+
     def test_even_load_moves_nothing(self):
         """Guards against moves that gain nothing."""
         demand = ownership.Demand({k * 655: 1.0 for k in range(100)}, 0.0001)
