Leave lost servers and zones alone

Cause: each request for a lost server waited 0.6 s for a connection, up to three times; a server was avoided after three failures only, so each VM found out about each server of a cut zone by itself.

Change: after one connection that isn't established a server is left alone for 0.6 s, doubled up to 8 s, then tried by one request at a time. Three such servers without a response of the zone in between make the zone count as cut off; one request at a time tries it. A kept connection that had ended is no sign of a lost server any more.

--- a/berylweir/gateway/dispatch/models.py
+++ b/berylweir/gateway/dispatch/models.py
@@ -7,6 +7,7 @@
 from berylweir.gateway import models
 from berylweir.gateway.dispatch import cold
 from berylweir.gateway.dispatch import idle as idle_module
+from berylweir.gateway.dispatch import reach as reach_module
 
 # Weight of a new service time in the moving average.
 _SERVICE_WEIGHT = 0.06
@@ -47,6 +48,7 @@
             none was seen.
         avoid_until_s: Until when other servers are preferred.
         room_from_s: Until when it is taken as full after a rejection.
+        reach: Whether it can be reached.
     """
 
     server: models.BackendServer
@@ -59,6 +61,9 @@
     service_ms: float = 0.0
     avoid_until_s: float = float("-inf")
     room_from_s: float = float("-inf")
+    reach: reach_module.ServerReach = dataclasses.field(
+        default_factory=reach_module.ServerReach
+    )
     served: int = 0
     failed: int = 0
     _others: float = 0.0
@@ -86,9 +91,10 @@
             return 1.0
         return self._slowness
 
-    def begin(self) -> None:
+    def begin(self, now_s: float) -> None:
         """Counts a request that is sent to the server."""
         self.in_flight += 1
+        self.reach.tried(now_s)
 
     def end(self, finished: messages.Finished, now_s: float) -> None:
         """Takes what a request showed."""
@@ -100,6 +106,7 @@
             self._reported_s = now_s
         if finished.cold_ms is not None and finished.cold_ms > 0:
             self.cold_until_s = now_s + finished.cold_ms / 1000.0
+        self.reach.see(finished.evidence, now_s)
         match finished.evidence:
             case messages.Evidence.SERVED:
                 self.served += 1
@@ -122,7 +129,11 @@
                 self._see_others(self.server.slots + _QUEUE_WHEN_FULL)
                 self._reported_s = now_s
                 self._pause(now_s)
-            case messages.Evidence.MISDIRECTED | messages.Evidence.ABANDONED:
+            case (
+                messages.Evidence.MISDIRECTED
+                | messages.Evidence.ABANDONED
+                | messages.Evidence.STALE
+            ):
                 pass
 
     def _see_others(self, others: float) -> None:
--- /dev/null
+++ b/berylweir/gateway/dispatch/reach.py
@@ -0,0 +1,84 @@
+"""Which backend servers and availability zones can't be reached."""
+
+import dataclasses
+
+from berylweir.gateway import messages
+
+# Pause after a connection that was not established, doubled with each further
+# one up to the longest, in seconds.
+_PAUSE_S = 0.6
+_PAUSE_MAX_S = 8.0
+# Servers of a zone that can't be reached, none of which was since, from which
+# on the whole zone counts as cut off.
+_SERVERS_FOR_ZONE = 3
+# Time between two requests that try a zone that counts as cut off, in seconds.
+_ZONE_PAUSE_S = 0.3
+# A connection that is reset may have gone silent long before.
+_RESPONDED = frozenset(
+    {
+        messages.Evidence.SERVED,
+        messages.Evidence.FAILED,
+        messages.Evidence.SHED,
+        messages.Evidence.MISDIRECTED,
+        messages.Evidence.BROKEN,
+    }
+)
+
+
+@dataclasses.dataclass(slots=True)
+class ServerReach:
+    """Whether one server can be reached."""
+
+    _failures: int = 0
+    _until_s: float = float("-inf")
+
+    def may_try(self, now_s: float) -> bool:
+        """Returns whether a request may go to the server."""
+        return self._until_s <= now_s
+
+    def tried(self, now_s: float) -> None:
+        """Notes a request; until it ends no other one goes to a lost server."""
+        if self._failures:
+            self._until_s = now_s + _PAUSE_S
+
+    def see(self, evidence: messages.Evidence, now_s: float) -> None:
+        """Takes what a request showed."""
+        if evidence is messages.Evidence.UNREACHABLE:
+            pause_s = min(_PAUSE_MAX_S, _PAUSE_S * 2.0**self._failures)
+            self._failures += 1
+            self._until_s = now_s + pause_s
+        elif evidence in _RESPONDED:
+            self._failures = 0
+            self._until_s = float("-inf")
+
+
+@dataclasses.dataclass(slots=True)
+class ZoneReach:
+    """Whether the servers of an availability zone can be reached."""
+
+    _lost: set[str] = dataclasses.field(default_factory=set)
+    _until_s: float = float("-inf")
+
+    @property
+    def is_lost(self) -> bool:
+        """Whether the zone counts as cut off."""
+        return len(self._lost) >= _SERVERS_FOR_ZONE
+
+    def may_try(self, now_s: float) -> bool:
+        """Returns whether a request may go to the zone."""
+        return not self.is_lost or self._until_s <= now_s
+
+    def tried(self, now_s: float) -> None:
+        """Notes a request to one of its servers."""
+        if self.is_lost:
+            self._until_s = now_s + _ZONE_PAUSE_S
+
+    def see(
+        self, server: str, evidence: messages.Evidence, now_s: float
+    ) -> None:
+        """Takes what a request to one of its servers showed."""
+        if evidence is messages.Evidence.UNREACHABLE:
+            self._lost.add(server)
+            self._until_s = now_s + _ZONE_PAUSE_S
+        elif evidence in _RESPONDED:
+            self._lost.clear()
--- a/berylweir/gateway/dispatch/task.py
+++ b/berylweir/gateway/dispatch/task.py
@@ -1,8 +1,10 @@
 """The task that owns the state of all backend servers on this VM."""
 
 import asyncio
+import collections
 from collections.abc import Mapping
 import dataclasses
+import logging
 import random
 import typing
 
@@ -12,10 +14,12 @@
 from berylweir.gateway.dispatch import cold
 from berylweir.gateway.dispatch import decisions
 from berylweir.gateway.dispatch import models as dispatch
+from berylweir.gateway.dispatch import reach
 from berylweir.observability import counters
 from berylweir.supervision import mailbox
 from berylweir.supervision import models as supervision
 
+_LOGGER = logging.getLogger(__name__)
 _MAILBOX = 10_000  # messages; far more than a VM has requests at a time
 # Part of a server's connections that the VMs share out.
 _CONNECTION_SHARE = 0.8
@@ -71,6 +75,9 @@
         self._evacuated: frozenset[str] = frozenset()
         self._vms: Mapping[str, models.Vm] = {}
         self._waiting: list[messages.Place] = []
+        self._zones: collections.defaultdict[str, reach.ZoneReach] = (
+            collections.defaultdict(reach.ZoneReach)
+        )
         # By name of the server and rate that it tolerates.
         self._cold_shares: dict[tuple[str, float], cold.ColdShare] = {}
 
@@ -238,6 +245,8 @@
                 return _not_placed(_Reason.NO_OWNER)
             if state is None or not self._is_usable(state):
                 return _not_placed(_Reason.NO_OWNER)
+            if not self._may_try(state, now_s):
+                return _not_placed(_Reason.UNREACHABLE)
             if not self._may_send(state, group.settings, now_s):
                 return _not_placed(_Reason.COLD)
             if decisions.is_full(state, now_s):
@@ -254,7 +263,8 @@
         warm = [s for s in usable if self._may_send(s, group.settings, now_s)]
         if not warm:
             return _not_placed(_Reason.COLD)
-        fresh = [s for s in warm if s.server.life not in wanted.tried] or warm
+        near = [s for s in warm if self._may_try(s, now_s)] or warm
+        fresh = [s for s in near if s.server.life not in wanted.tried] or near
         state = decisions.choose(
             fresh,
             self._zone,
@@ -276,6 +286,33 @@
             and server.availability_zone not in self._evacuated
         )
 
+    def _may_try(self, state: dispatch.ServerState, now_s: float) -> bool:
+        """Returns whether a server is likely to be reached."""
+        return state.reach.may_try(now_s) and self._zone_of(state).may_try(
+            now_s
+        )
+
+    def _zone_of(self, state: dispatch.ServerState) -> reach.ZoneReach:
+        return self._zones[state.server.availability_zone]
+
+    def _see_zone(
+        self,
+        state: dispatch.ServerState,
+        evidence: messages.Evidence,
+        now_s: float,
+    ) -> None:
+        zone = self._zone_of(state)
+        was_lost = zone.is_lost
+        zone.see(state.server.name, evidence, now_s)
+        if zone.is_lost != was_lost:
+            _LOGGER.warning(
+                "zone lost" if zone.is_lost else "zone regained",
+                extra={
+                    "zone": state.server.availability_zone,
+                    "server": state.server.name,
+                },
+            )
+
     def _may_send(
         self,
         state: dispatch.ServerState,
@@ -320,7 +357,8 @@
             now_s,
             state.load(now_s),
         )
-        state.begin()
+        state.begin(now_s)
+        self._zone_of(state).tried(now_s)
         message.reply.set_result(placement)
 
     def _refuse(
@@ -339,6 +377,7 @@
                 connection.close()
             return
         state.end(message, now_s)
+        self._see_zone(state, message.evidence, now_s)
         if connection is None:
             return
         if state.server.is_draining:
@@ -376,7 +415,7 @@
     wanted: messages.Wanted, found: messages.NotPlaced, now_s: float
 ) -> bool:
     """Returns whether a request would wait in vain."""
-    if found.reason is messages.RefusalReason.NO_OWNER:
+    if found.reason in (_Reason.NO_OWNER, _Reason.UNREACHABLE):
         return wanted.owner_expires_s <= now_s
     return wanted.expires_s <= now_s + found.room_s
 
--- a/berylweir/gateway/exchange/sending.py
+++ b/berylweir/gateway/exchange/sending.py
@@ -97,7 +97,7 @@
             if request.body:
                 connection.write(request.body)
         except http_exceptions.ExchangeError:
-            return outcomes.NotSent(), messages.Evidence.UNREACHABLE
+            return outcomes.NotSent(), messages.Evidence.STALE
         try:
             async with asyncio.timeout(max(0.0, left_s)):
                 return await self._read(connection)
--- a/berylweir/gateway/messages.py
+++ b/berylweir/gateway/messages.py
@@ -125,6 +125,7 @@
 
     NO_SERVER = "no_server"
     NO_OWNER = "no_owner"
+    UNREACHABLE = "unreachable"
     FULL = "full"
     COLD = "cold"
     RETRY_BUDGET = "retry_budget"
@@ -169,6 +170,7 @@
     BROKEN = "broken"  # no whole response, or not the server's
     EXPIRED = "expired"  # no response in time
     UNREACHABLE = "unreachable"  # no connection
+    STALE = "stale"  # a kept connection had ended; nothing was sent
     ABANDONED = "abandoned"  # the caller left
 
 
--- a/berylweir/gateway/ownership/balance.py
+++ b/berylweir/gateway/ownership/balance.py
@@ -147,7 +147,7 @@
     running = plan.rate(move.first, move.last) * plan.typical_ms / 1000.0
     parts = min(_MAX_PARTS, math.ceil(running / _RUNNING_PER_PART))
     share = plan.rate(move.first, move.last) / max(1, parts)
-    moves = []
+    moves: list[ownership.Move] = []
     first = move.first
     while first <= move.last:
         last = move.last
--- /dev/null
+++ b/tests/gateway/dispatch/test_reach.py
@@ -0,0 +1,77 @@
+"""Tests of which servers and zones can't be reached."""
+
+from berylweir.gateway import messages
+from berylweir.gateway.dispatch import reach
+
+_LOST = messages.Evidence.UNREACHABLE
+_SERVED = messages.Evidence.SERVED
+
+
+class TestServerReach:
+    """One server."""
+
+    def test_a_lost_server_is_tried_less_and_less_often(self):
+        """Guards against each request waiting for a lost server."""
+        found = reach.ServerReach()
+        assert found.may_try(0.0)
+        now_s, tries = 0.0, []
+        while now_s < 30.0:
+            if found.may_try(now_s):
+                tries.append(now_s)
+                found.tried(now_s)
+                found.see(_LOST, now_s)
+            now_s += 0.1
+        assert len(tries) <= 8
+
+    def test_one_request_at_a_time_tries_a_lost_server(self):
+        """Guards against many requests that wait for one answer."""
+        found = reach.ServerReach()
+        found.see(_LOST, 0.0)
+        assert found.may_try(1.0)
+        found.tried(1.0)
+        assert not found.may_try(1.1)
+
+    def test_a_response_ends_the_pause(self):
+        """Guards against a server that is left alone after its return."""
+        found = reach.ServerReach()
+        for _ in range(5):
+            found.see(_LOST, 0.0)
+        found.see(messages.Evidence.RESET, 0.1)
+        assert not found.may_try(0.1)
+        found.see(_SERVED, 0.1)
+        assert found.may_try(0.1)
+        found.tried(0.1)
+        assert found.may_try(0.1)
+
+
+class TestZoneReach:
+    """All servers of a zone."""
+
+    def test_a_few_lost_servers_mean_that_the_zone_is_cut_off(self):
+        """Guards against a wait for each single server of a zone."""
+        found = reach.ZoneReach()
+        for name in "aab":
+            found.see(name, _LOST, 0.0)
+        assert not found.is_lost
+        found.see("c", _LOST, 0.0)
+        assert found.is_lost
+        assert not found.may_try(0.1)
+
+    def test_one_request_at_a_time_tries_a_lost_zone(self):
+        """Guards against a zone that is never tried again."""
+        found = reach.ZoneReach()
+        for name in "abc":
+            found.see(name, _LOST, 0.0)
+        assert found.may_try(1.0)
+        found.tried(1.0)
+        assert not found.may_try(1.1)
+        found.see("d", _SERVED, 1.2)
+        assert found.may_try(1.2)
+
+    def test_lost_servers_of_a_zone_that_responds_are_no_cut(self):
+        """Guards against a zone that is left alone for three crashes."""
+        found = reach.ZoneReach()
+        for name in "abcdef":
+            found.see(name, _LOST, 0.0)
+            found.see("z", _SERVED, 0.0)
+        assert not found.is_lost
--- a/tests/gateway/dispatch/test_state.py
+++ b/tests/gateway/dispatch/test_state.py
@@ -30,7 +30,7 @@
         "a", "g", None, 1, True, 400.0, False, False, frozenset(), None, 1, 1, 1
     )
     placement = messages.Placement(state.server, None, now_s, placed_at)
-    state.begin()
+    state.begin(now_s)
     state.end(
         messages.Finished(
             placement, wanted, evidence, None, load, None, None, elapsed_s
