Count a grant once the server has acknowledged it

Cause: a home told its router that keys may be served until the end of the newest grant it had sent. When the event loop stalled, a request overtook that grant and reached the server 1 ms after the former one had ended: 503, no grant for this slice and token.

The router now may send until the end of the newest grant that the server acknowledged. tests/keeper and tests/test_deployment.py pass.

--- a/berylweir/keeper/grants/decisions.py
+++ b/berylweir/keeper/grants/decisions.py
@@ -174,8 +174,15 @@
         for g in request.revoked
         if g.slice not in refused
     )
+    # The server read its clock after it was asked.
+    accepted_until_s = state.asked_s + request.expires_at_s - status.clock_s
     return dataclasses.replace(
-        next_state, granted=granted, revoked=state.revoked | revoked
+        next_state,
+        accepted_until_s=(
+            accepted_until_s if granted else state.accepted_until_s
+        ),
+        granted=granted,
+        revoked=state.revoked | revoked,
     )
 
 
@@ -267,7 +274,8 @@
     valid_until_s = state.delegated_until_s
     served = state.owned
     if state.checks_grants:
-        valid_until_s = min(valid_until_s, state.granted_until_s)
+        # A grant that is still on its way may arrive after a request.
+        valid_until_s = min(valid_until_s, state.accepted_until_s)
         served = tuple(s for s in state.owned if s in state.granted)
     return messages.HomeServer(
         state.server.name,
--- a/berylweir/keeper/grants/models.py
+++ b/berylweir/keeper/grants/models.py
@@ -38,6 +38,7 @@
         instance: Newest instance of the server, or empty.
         answered_s: When it answered last.
         granted_until_s: End of the newest grant that was sent.
+        accepted_until_s: End of the newest grant that it acknowledged.
         granted: Slices in the newest grant that it acknowledged, with tokens.
         revoked: Moving slices whose revocation it acknowledged, with tokens.
         outstanding: Slices with a request outstanding at the server.
@@ -63,6 +64,7 @@
     instance: str = ""
     answered_s: float = -math.inf
     granted_until_s: float = -math.inf
+    accepted_until_s: float = -math.inf
     granted: frozenset[tuple[int, int]] = frozenset()
     revoked: frozenset[tuple[int, int]] = frozenset()
     outstanding: frozenset[int] = frozenset()
--- a/tests/keeper/test_grants.py
+++ b/tests/keeper/test_grants.py
@@ -52,6 +52,30 @@
     return 3 not in server.owned_slices()
 
 
+class TestRenewal:
+    """Grants of slices that the server keeps."""
+
+    def test_a_grant_counts_once_it_is_acknowledged(self):
+        """Guards against requests that overtake the grant they need."""
+        server = backend.BackendState(backend.BackendConfig("s-0"), lambda: 0.0)
+        home = dataclasses.replace(
+            _home(), owned=((4, 5),), moving=(), served=frozenset({4})
+        )
+        home = decisions.answered(home, None, server.status(), 0.0)
+        valid_s = []
+        for delegated_until_s in (1.0, 2.0):
+            home = dataclasses.replace(
+                home, delegated_until_s=delegated_until_s
+            )
+            request = decisions.next_grant(home, 0.0, _TIMINGS)
+            assert request is not None
+            home = decisions.asked(home, request, 0.0)
+            valid_s.append(decisions.to_router(home).valid_until_s)
+            home = decisions.answered(home, request, server.grant(request), 0.0)
+            valid_s.append(decisions.to_router(home).valid_until_s)
+        assert valid_s == [-math.inf, 1.0, 1.0, 2.0]
+
+
 class TestRevocation:
     """Revocations of moving slices."""
 
