Pause after a rejection as long as the VMs' turns last

With 90 VMs a pause of 0.1 s to 2 s is no pause: a server runs 10 requests a second.

Change: the first pause is a quarter of the time in which the server runs one request of each VM, the longest one is all of it. Requests to a server that rejected lately go one at a time. A connection that is reset late is a lost answer and no rejection.

--- a/berylweir/gateway/dispatch/decisions.py
+++ b/berylweir/gateway/dispatch/decisions.py
@@ -10,8 +10,6 @@
 # Requests that may wait at a server beyond its slots. Servers queue about a
 # dozen and reset connections when full; other VMs fill the queue as well.
 QUEUE_AT_SERVER = 4
-# Duration of work assumed before any was seen, in ms.
-_UNKNOWN_SERVICE_MS = 100.0
 # Factor on the expected time at a server of another zone: bytes between zones
 # are charged, and downloads are most of the bytes.
 _OTHER_ZONE_FACTOR = 1.15
@@ -38,7 +36,7 @@
         now_s: Time on the loop's clock, in seconds.
         typical_ms: Duration at a server of the group that wasn't used yet.
     """
-    service_ms = state.service_ms or typical_ms or _UNKNOWN_SERVICE_MS
+    service_ms = state.service_ms or typical_ms or dispatch.UNKNOWN_SERVICE_MS
     slots = max(1, state.server.slots)
     waves = max(1.0, (state.load(now_s) + 1.0) / slots)
     return service_ms * state.slowness(now_s) * waves
@@ -48,6 +46,7 @@
     """Returns whether another request may find the server full."""
     return (
         state.room_from_s > now_s
+        or (state.is_rejecting and state.in_flight > 0)
         or state.load(now_s) >= state.server.slots + QUEUE_AT_SERVER
     )
 
@@ -56,7 +55,7 @@
     """Returns the time until a full server is likely to have room."""
     slots = max(1, state.server.slots)
     excess = max(0.0, state.load(now_s) + 1.0 - slots - QUEUE_AT_SERVER)
-    service_ms = state.service_ms or _UNKNOWN_SERVICE_MS
+    service_ms = state.service_ms or dispatch.UNKNOWN_SERVICE_MS
     return max(state.room_from_s - now_s, excess * service_ms / 1000.0 / slots)
 
 
--- a/berylweir/gateway/dispatch/models.py
+++ b/berylweir/gateway/dispatch/models.py
@@ -28,10 +28,18 @@
 _AVOID_S = 1.0
 _AVOID_MAX_S = 8.0
 # Pause after a server rejected a request because it is full, doubled with each
-# rejection up to the longest, in seconds. The more VMs send to a busy server,
-# the longer each of them pauses.
+# rejection up to the longest, in seconds.
 _REJECTED_S = 0.1
 _REJECTED_MAX_S = 2.0
+# The same in parts of the time in which the server runs one request of each VM:
+# the more VMs send to a busy server, the longer each of them pauses.
+_REJECTED_TURN = 0.25
+_REJECTED_MAX_TURNS = 1.0
+# A full server resets a connection at once; one that is reset later has run the
+# request. In parts of the usual duration.
+_EARLY_RESET = 0.3
+# Duration of work assumed before any was seen, in ms.
+UNKNOWN_SERVICE_MS = 100.0
 
 
 @dataclasses.dataclass(slots=True)
@@ -96,8 +104,21 @@
         self.in_flight += 1
         self.reach.tried(now_s)
 
-    def end(self, finished: messages.Finished, now_s: float) -> None:
-        """Takes what a request showed."""
+    @property
+    def is_rejecting(self) -> bool:
+        """Whether it rejected requests lately; then they go one at a time."""
+        return self._rejections > 0
+
+    def end(
+        self, finished: messages.Finished, now_s: float, vms: int = 1
+    ) -> None:
+        """Takes what a request showed.
+
+        Args:
+            finished: The request.
+            now_s: Time on the loop's clock, in seconds.
+            vms: Number of VMs that send to the server.
+        """
         self.in_flight -= 1
         if finished.load is not None:
             at_server = finished.load.running + finished.load.waiting
@@ -112,23 +133,25 @@
                 self.served += 1
                 self._failures = 0
                 self._avoided = 0
-                self._rejections = max(0, self._rejections - 1)
+                self._rejections //= 2
                 self._learn(finished)
             case messages.Evidence.FAILED | messages.Evidence.BROKEN:
                 self._fail(now_s)
             case messages.Evidence.EXPIRED | messages.Evidence.UNREACHABLE:
                 self._fail(now_s)
             case messages.Evidence.RESET:
+                # Servers of some groups reset connections when full.
                 if finished.placement.load >= self.server.slots:
-                    # Servers of some groups reset connections when full.
                     self._see_others(self.server.slots + _QUEUE_WHEN_FULL)
                     self._reported_s = now_s
-                self._pause(now_s)
+                usual_s = (self.service_ms or UNKNOWN_SERVICE_MS) / 1000.0
+                if finished.elapsed_s < _EARLY_RESET * usual_s:
+                    self._pause(now_s, vms)
                 self._fail(now_s)
             case messages.Evidence.SHED:
                 self._see_others(self.server.slots + _QUEUE_WHEN_FULL)
                 self._reported_s = now_s
-                self._pause(now_s)
+                self._pause(now_s, vms)
             case (
                 messages.Evidence.MISDIRECTED
                 | messages.Evidence.ABANDONED
@@ -153,7 +176,7 @@
         weight = max(_SERVICE_WEIGHT, 1.0 / self._samples)
         self.service_ms += weight * (sample - self.service_ms)
 
-    def _pause(self, now_s: float) -> None:
+    def _pause(self, now_s: float, vms: int) -> None:
         """Takes the server as full for a while.
 
         Requests that were sent together are rejected together, and count
@@ -161,7 +184,12 @@
         """
         if now_s < self.room_from_s:
             return
-        pause_s = min(_REJECTED_MAX_S, _REJECTED_S * 2.0**self._rejections)
+        slots = max(1, self.server.slots)
+        service_s = (self.service_ms or UNKNOWN_SERVICE_MS) / 1000.0
+        turn_s = vms * service_s / slots
+        first_s = max(_REJECTED_S, _REJECTED_TURN * turn_s)
+        longest_s = max(_REJECTED_MAX_S, _REJECTED_MAX_TURNS * turn_s)
+        pause_s = min(longest_s, first_s * 2.0**self._rejections)
         self.room_from_s = now_s + pause_s * random.uniform(0.5, 1.0)
         self._rejections += 1
 
--- a/berylweir/gateway/dispatch/task.py
+++ b/berylweir/gateway/dispatch/task.py
@@ -376,7 +376,7 @@
             if connection is not None:
                 connection.close()
             return
-        state.end(message, now_s)
+        state.end(message, now_s, max(1, len(self._vms)))
         self._see_zone(state, message.evidence, now_s)
         if connection is None:
             return
