Take from the retry budget only what is sent

Cause: a repeat was charged when it asked for a server, also if it was then refused, so refusals used up the budget of others.

--- a/berylweir/gateway/dispatch/task.py
+++ b/berylweir/gateway/dispatch/task.py
@@ -194,11 +194,7 @@
         if group is None:
             self._refuse(message, _not_placed(_Reason.NO_SERVER))
             return
-        if wanted.is_repeat:
-            if not group.budget.take_repeat(now_s, len(self._vms)):
-                self._refuse(message, _not_placed(_Reason.RETRY_BUDGET))
-                return
-        else:
+        if not wanted.is_repeat:
             group.budget.count_request(now_s)
             if group.settings.is_keyed and wanted.key is not None:
                 group.keys.append(wanted.key)
@@ -251,8 +247,7 @@
                 return _not_placed(_Reason.COLD)
             if decisions.is_full(state, now_s):
                 return _not_placed(_Reason.FULL, decisions.room_s(state, now_s))
-            self._send(message, state, group.settings, now_s)
-            return None
+            return self._send(message, state, group, now_s)
         members = self._members.get(wanted.group, [])
         sample = decisions.sample(members, self._random)
         usable = [s for s in sample if self._is_usable(s)] or [
@@ -276,8 +271,7 @@
         if state is None:
             room_s = min(decisions.room_s(s, now_s) for s in fresh)
             return _not_placed(_Reason.FULL, room_s)
-        self._send(message, state, group.settings, now_s)
-        return None
+        return self._send(message, state, group, now_s)
 
     def _is_usable(self, state: dispatch.ServerState) -> bool:
         server = state.server
@@ -346,9 +340,15 @@
         self,
         message: messages.Place,
         state: dispatch.ServerState,
-        settings: models.ServerGroup,
+        group: _Group,
         now_s: float,
-    ) -> None:
+    ) -> messages.NotPlaced | None:
+        """Hands out a server, or returns why a repeat may not be sent."""
+        if message.wanted.is_repeat and not group.budget.take_repeat(
+            now_s, len(self._vms)
+        ):
+            return _not_placed(_Reason.RETRY_BUDGET)
+        settings = group.settings
         if state.cold_until_s > now_s and settings.cold_per_s > 0:
             state.pacer.take(now_s, self._cold_share(state, settings).rate)
         placement = messages.Placement(
@@ -360,6 +360,7 @@
         state.begin(now_s)
         self._zone_of(state).tried(now_s)
         message.reply.set_result(placement)
+        return None
 
     def _refuse(
         self, message: messages.Place, found: messages.NotPlaced
@@ -415,6 +416,8 @@
     wanted: messages.Wanted, found: messages.NotPlaced, now_s: float
 ) -> bool:
     """Returns whether a request would wait in vain."""
+    if found.reason is _Reason.RETRY_BUDGET:
+        return True
     if found.reason in (_Reason.NO_OWNER, _Reason.UNREACHABLE):
         return wanted.owner_expires_s <= now_s
     return wanted.expires_s <= now_s + found.room_s
