Refuse requests for lost owners at once

The grant of a lost owner lapses after 2.6 s, so it waited in vain.

Change: it is refused at once, with Retry-After 1 s.

--- a/berylweir/gateway/dispatch/task.py
+++ b/berylweir/gateway/dispatch/task.py
@@ -25,6 +25,9 @@
 _CONNECTION_SHARE = 0.8
 # Retry-After of a refusal when nothing better is known, in seconds.
 _RETRY_AFTER_S = 0.25
+# Retry-After while the owner of a key can't be reached, in seconds. Its grant
+# lapses after up to 3 s; callers wait for a third of their time at most.
+_LOST_S = 1.0
 # Longest sleep between two looks at waiting requests, in seconds. Estimates of
 # load fall with time, so a place may come free without a message.
 _RECHECK_S = 0.02
@@ -242,7 +245,7 @@
             if state is None or not self._is_usable(state):
                 return _not_placed(_Reason.NO_OWNER)
             if not self._may_try(state, now_s):
-                return _not_placed(_Reason.UNREACHABLE)
+                return messages.NotPlaced(_Reason.UNREACHABLE, _LOST_S)
             if not self._may_send(state, group.settings, now_s):
                 return _not_placed(_Reason.COLD)
             if decisions.is_full(state, now_s):
@@ -416,9 +419,9 @@
     wanted: messages.Wanted, found: messages.NotPlaced, now_s: float
 ) -> bool:
     """Returns whether a request would wait in vain."""
-    if found.reason is _Reason.RETRY_BUDGET:
+    if found.reason in (_Reason.RETRY_BUDGET, _Reason.UNREACHABLE):
         return True
-    if found.reason in (_Reason.NO_OWNER, _Reason.UNREACHABLE):
+    if found.reason is _Reason.NO_OWNER:
         return wanted.owner_expires_s <= now_s
     return wanted.expires_s <= now_s + found.room_s
 
--- a/tests/gateway/dispatch/test_task.py
+++ b/tests/gateway/dispatch/test_task.py
@@ -2,11 +2,13 @@
 
 import asyncio
 import contextlib
+import dataclasses
 
 from berylweir.gateway import messages
 from berylweir.gateway import models
 from berylweir.gateway.dispatch import decisions
 from berylweir.gateway.dispatch import task
+from berylweir.gateway.ownership import tables
 from berylweir.observability import counters
 from berylweir.supervision import models as supervision
 
@@ -16,8 +18,11 @@
 class Running:
     """A dispatcher with one server of one group."""
 
-    def __init__(self, bounds: models.Bounds) -> None:
+    def __init__(
+        self, bounds: models.Bounds, *, is_keyed: bool = False
+    ) -> None:
         self.inbox = task.create_inbox()
+        self._is_keyed = is_keyed
         self._stack = contextlib.AsyncExitStack()
         self._dispatcher = task.Dispatcher(
             models.Environment(
@@ -32,7 +37,7 @@
         context = supervision.ChildContext(self._stack)
         running = asyncio.create_task(self._dispatcher.run(context))
         self._stack.callback(running.cancel)
-        group = models.ServerGroup("g", 100, 8.0, is_keyed=False)
+        group = models.ServerGroup("g", 100, 8.0, self._is_keyed)
         configuration = models.Configuration(
             "1", 1, (), {"g": group}, models.CallerLimits()
         )
@@ -41,19 +46,29 @@
         )
         self.inbox.post(messages.ConfigurationInForce(configuration))
         self.inbox.post(messages.ServersInForce({"s": server}))
+        table = tables.create("g", [server.life], 1)
+        self.inbox.post(
+            messages.TableInForce(dataclasses.replace(table, revision=1))
+        )
         return self
 
     async def __aexit__(self, *_: object) -> None:
         """Ends it."""
         await self._stack.aclose()
 
-    def wanted(self, *, is_repeat: bool) -> messages.Wanted:
-        """Returns a request that doesn't wait."""
+    def wanted(
+        self,
+        *,
+        is_repeat: bool = False,
+        key: int | None = None,
+        wait_s: float = 0.0,
+    ) -> messages.Wanted:
+        """Returns a request that waits for a server for some time."""
         now_s = asyncio.get_running_loop().time()
         return messages.Wanted(
             request_id="a",
             group="g",
-            key=None,
+            key=key,
             priority=1,
             is_repeatable=True,
             goal_ms=400.0,
@@ -61,25 +76,29 @@
             is_repeat=is_repeat,
             tried=frozenset(),
             disowned=None,
-            expires_s=now_s,
-            owner_expires_s=now_s,
-            deadline_s=now_s + 5.0,
+            expires_s=now_s + wait_s,
+            owner_expires_s=now_s + wait_s,
+            deadline_s=now_s + 60.0,
         )
 
-    async def place(self, *, is_repeat: bool = False):
+    async def place(self, **options):
         """Asks for a server."""
         reply = asyncio.get_running_loop().create_future()
-        wanted = self.wanted(is_repeat=is_repeat)
+        wanted = self.wanted(**options)
         self.inbox.post(messages.Place(wanted, reply))
         return await reply
 
-    def finish(self, placement: messages.Placement) -> None:
+    def finish(
+        self,
+        placement: messages.Placement,
+        evidence: messages.Evidence = messages.Evidence.SERVED,
+    ) -> None:
         """Ends a request."""
         self.inbox.post(
             messages.Finished(
                 placement,
-                self.wanted(is_repeat=False),
-                messages.Evidence.SERVED,
+                self.wanted(),
+                evidence,
                 None,
                 None,
                 None,
@@ -92,6 +111,15 @@
 class TestDispatcher:
     """Requests that get a server, or don't."""
 
+    async def test_a_key_of_a_lost_server_is_refused_at_once(self):
+        """Guards against callers that wait for a server that crashed."""
+        async with Running(models.Bounds(), is_keyed=True) as running:
+            placement = await running.place(key=7)
+            running.finish(placement, messages.Evidence.UNREACHABLE)
+            found = await running.place(key=7, wait_s=30.0)
+            assert found.reason is messages.RefusalReason.UNREACHABLE
+            assert found.retry_after_s >= 0.5
+
     async def test_a_repeat_that_is_not_sent_costs_no_budget(self):
         """Guards against a budget that is spent on refusals."""
         bounds = models.Bounds(retry_ratio=0.0, retry_slack=1.5)
