Log the begin of moves and shunned servers

Cause: a range without an owner shows in the log only once its move has ended, and a server that gets no keys for a while not at all.

Change: one line for each write of moves, one for each server that is shunned.

--- a/berylweir/gateway/ownership/candidates.py
+++ b/berylweir/gateway/ownership/candidates.py
@@ -3,12 +3,14 @@
 from collections.abc import Callable
 from collections.abc import Iterable
 from collections.abc import Mapping
+import logging
 
 from berylweir.gateway import clock
 from berylweir.gateway import models
 from berylweir.gateway.ownership import demand
 from berylweir.gateway.ownership import models as ownership
 
+_LOGGER = logging.getLogger(__name__)
 # How long a server gets no keys after it stopped answering, in seconds; twice
 # as long each time up to the longest. The entry of a server that crashed lapses
 # after three heartbeats, which is a few seconds.
@@ -113,3 +115,11 @@
         shuns = self._shuns[life] = self._shuns.get(life, 0) + 1
         pause_s = min(_SHUN_MAX_S, _SHUN_S * 2.0 ** (shuns - 1))
         self._shunned_until_s[life] = now_s + pause_s
+        _LOGGER.warning(
+            "server shunned",
+            extra={
+                "server": life.server,
+                "born_ms": life.born_ms,
+                "pause_s": pause_s,
+            },
+        )
--- a/berylweir/gateway/ownership/task.py
+++ b/berylweir/gateway/ownership/task.py
@@ -315,8 +315,16 @@
             evens_out=is_due,
         )
         possible = [m for m in moves if self._is_possible(table, m)]
-        if possible:
-            await self._write(tables.move(table, possible))
+        if possible and await self._write(tables.move(table, possible)):
+            _LOGGER.info(
+                "moves begun",
+                extra={
+                    "group": name,
+                    "moves": len(possible),
+                    "candidates": len(found),
+                    "revision": self._tables[name].revision,
+                },
+            )
 
     def _is_possible(
         self, table: models.KeyTable, move: ownership.Move
