Share out busy servers among the VMs

The holder hears from all VMs and tells which share of the requests for a busy server to send; the others are refused at once.

--- a/berylweir/gateway/ownership/task.py
+++ b/berylweir/gateway/ownership/task.py
@@ -14,6 +14,7 @@
 from berylweir.gateway import messages
 from berylweir.gateway import models
 from berylweir.gateway.dispatch import task as dispatch
+from berylweir.gateway.ownership import admission
 from berylweir.gateway.ownership import announcing
 from berylweir.gateway.ownership import balance
 from berylweir.gateway.ownership import candidates
@@ -96,6 +97,7 @@
         self._raised: set[str] = set()
         self._demand: dict[str, demand.DemandMeter] = {}
         self._server_meter = demand.ServerMeter()
+        self._admission = admission.Admission()
         self._candidates = candidates.Candidates(self._server_meter)
         self._wake = asyncio.Event()
         self._dirty = asyncio.Event()
@@ -109,7 +111,7 @@
             on_take=self._begin,
             on_former_ended=self._former_ended,
             on_lose=self._end,
-            on_standing=self._compare_tables,
+            on_standing=self._take_standing,
             is_store_up=is_store_up,
         )
         self._announcer = announcing.Announcer(me, peer_client)
@@ -159,7 +161,9 @@
                 | peers.TellTableChanges()
             ):
                 pass
-        return self._lease.standing(self._table_revisions())
+        return self._lease.standing(
+            self._table_revisions(), self._admission.shares
+        )
 
     # What is known
 
@@ -207,6 +211,7 @@
         for group, keys in use.keys.items():
             self._demand.setdefault(group, demand.DemandMeter()).add(keys)
         self._server_meter.add(use.servers)
+        self._admission.add(use.servers)
 
     def _take_report(self) -> "asyncio.Future[peers.ReportUse]":
         reply: asyncio.Future[messages.KeyUse] = (
@@ -224,8 +229,9 @@
         self._dispatcher.post(messages.TakeKeyUse(reply))
         return report
 
-    def _compare_tables(self, standing: peers.Standing) -> None:
-        """Reads the tables again if the holder has newer ones."""
+    def _take_standing(self, standing: peers.Standing) -> None:
+        """Takes the shares; reads the tables again if the holder has newer."""
+        self._dispatcher.post(messages.SharesInForce(standing.shares))
         for name, revision in standing.tables.items():
             known = self._tables.get(name)
             if known is None or known.revision < revision:
@@ -270,6 +276,7 @@
                 reply: asyncio.Future[messages.KeyUse] = loop.create_future()
                 self._dispatcher.post(messages.TakeKeyUse(reply))
                 self._take_use(await reply)
+                self._share_out()
             for name, group in list(self._groups.items()):
                 if group.is_keyed and self._lease.may_act:
                     await self._balance_group(name, is_due=is_due)
@@ -289,6 +296,20 @@
             if self._dirty.is_set():
                 await asyncio.sleep(_SETTLE_S)
 
+    def _share_out(self) -> None:
+        """Limits the requests for busy servers."""
+        now_s = clock.boot_s()
+        rates: dict[str, float] = {}
+        for name, table in self._tables.items():
+            if name in self._demand:
+                found = self._demand[name].demand(now_s)
+                rates |= balance.rates_of(table, found)
+        slots = {name: max(1, s.slots) for name, s in self._servers.items()}
+        self._admission.update(rates, slots, now_s)
+        shares = self._admission.shares
+        self._metrics.gauge("admission.limited", len(shares))
+        self._dispatcher.post(messages.SharesInForce(shares))
+
     async def _balance_group(self, name: str, *, is_due: bool) -> None:
         table = self._tables.get(name)
         found = self._candidates.of(
