--- a/berylweir/gateway/ownership/admission.py
+++ b/berylweir/gateway/ownership/admission.py
@@ -12,12 +12,12 @@
 
 # Requests that wait at a server, in parts of its slots, from which on it counts
 # as busy.
-_BUSY = 1.2
+_BUSY = 0.5
 # Part of what a busy server serves that it is sent, and how much less it is
 # while its queue is long: the queue has to become shorter.
 _KEPT = 0.95
 _KEPT_LESS = 0.3
-_LONG = 3.0  # a long queue, in parts of the slots
+_LONG = 2.0  # a long queue, in parts of the slots
 # Factor by which a share grows in each round once the server isn't busy.
 _GROWTH = 1.2
 # Weight of one response in the average queue of a server.
--- a/tests/gateway/ownership/test_admission.py
+++ b/tests/gateway/ownership/test_admission.py
@@ -53,7 +53,7 @@
             server.queues.clear()
             server.served = 0.0
             server.run(overload * _CAPACITY, 20.0)
-            assert max(server.queues) < 3.5 * _SLOTS
+            assert max(server.queues) < 2.5 * _SLOTS
             assert server.served > 0.8 * _CAPACITY * 20.0
 
     def test_the_limit_ends_with_the_overload(self):
