--- a/berylweir/gateway/dispatch/task.py
+++ b/berylweir/gateway/dispatch/task.py
@@ -28,12 +28,6 @@
 # Retry-After while the owner of a key can't be reached, in seconds. Its grant
 # lapses after up to 3 s; callers wait for a third of their time at most.
 _LOST_S = 1.0
-# Retry-After of a request that a busy server can't take, in seconds: keys have
-# moved by then.
-_BUSY_S = 1.0
-# How long shares hold after the holder of the lease told them, in seconds;
-# longer than the time between two reports.
-_SHARES_HOLD_S = 4.0
 # Longest sleep between two looks at waiting requests, in seconds. Estimates of
 # load fall with time, so a place may come free without a message.
 _RECHECK_S = 0.02
@@ -84,8 +78,6 @@
         self._evacuated: frozenset[str] = frozenset()
         self._vms: Mapping[str, models.Vm] = {}
         self._waiting: list[messages.Place] = []
-        self._shares: Mapping[str, float] = {}
-        self._shares_until_s = float("-inf")
         self._zones: collections.defaultdict[str, reach.ZoneReach] = (
             collections.defaultdict(reach.ZoneReach)
         )
@@ -132,9 +124,6 @@
                 self._cold_shares.clear()
             case messages.LeaseInForce():
                 pass
-            case messages.SharesInForce(shares):
-                self._shares = shares
-                self._shares_until_s = self._now_s() + _SHARES_HOLD_S
             case messages.TakeKeyUse(reply):
                 if not reply.done():
                     reply.set_result(self._take_key_use())
@@ -194,12 +183,9 @@
         for state in self._servers.values():
             if state.served or state.failed:
                 servers[state.server.name] = messages.ServerUse(
-                    state.served,
-                    state.failed,
-                    state.service_ms,
-                    state.waiting / max(1, state.served),
+                    state.served, state.failed, state.service_ms
                 )
-                state.served = state.failed = state.waiting = 0
+                state.served = state.failed = 0
         return messages.KeyUse(self._vm, keys, servers)
 
     # Requests
@@ -215,10 +201,6 @@
             group.budget.count_request(now_s)
             if group.settings.is_keyed and wanted.key is not None:
                 group.keys.append(wanted.key)
-                if not self._is_admitted(group, wanted, now_s):
-                    busy = messages.NotPlaced(_Reason.BUSY, _BUSY_S)
-                    self._refuse(message, busy)
-                    return
         found = self._try(message, now_s)
         if found is None:
             return
@@ -252,7 +234,11 @@
             return None
         group = self._groups[wanted.group]
         if group.settings.is_keyed and wanted.key is not None:
-            owner = _owner(group, wanted)
+            owner = (
+                decisions.owner_of(group.table, wanted.key)
+                if group.table is not None
+                else None
+            )
             state = self._servers.get(owner) if owner is not None else None
             if owner is not None and owner == wanted.disowned:
                 return _not_placed(_Reason.NO_OWNER)
@@ -297,16 +283,6 @@
             and server.availability_zone not in self._evacuated
         )
 
-    def _is_admitted(
-        self, group: _Group, wanted: messages.Wanted, now_s: float
-    ) -> bool:
-        """Returns whether the owner of the key, if busy, gets a request."""
-        if now_s > self._shares_until_s or not self._shares:
-            return True
-        owner = _owner(group, wanted)
-        share = self._shares.get(owner.server, 1.0) if owner else 1.0
-        return share >= 1.0 or self._random.random() < share
-
     def _may_try(self, state: dispatch.ServerState, now_s: float) -> bool:
         """Returns whether a server is likely to be reached."""
         return state.reach.may_try(now_s) and self._zone_of(state).may_try(
@@ -435,13 +411,6 @@
         return asyncio.get_running_loop().time()
 
 
-def _owner(group: _Group, wanted: messages.Wanted) -> models.Life | None:
-    """Returns the life that serves the key of a request, if any does."""
-    if group.table is None or wanted.key is None:
-        return None
-    return decisions.owner_of(group.table, wanted.key)
-
-
 def _not_placed(reason: _Reason, room_s: float = 0.0) -> messages.NotPlaced:
     return messages.NotPlaced(reason, max(_RETRY_AFTER_S, room_s), room_s)
 
--- a/berylweir/gateway/messages.py
+++ b/berylweir/gateway/messages.py
@@ -126,7 +126,6 @@
     NO_SERVER = "no_server"
     NO_OWNER = "no_owner"
     UNREACHABLE = "unreachable"
-    BUSY = "busy"
     FULL = "full"
     COLD = "cold"
     RETRY_BUDGET = "retry_budget"
@@ -209,13 +208,11 @@
         failed: Requests that got none, or a failure.
         service_ms: Typical duration of a request that didn't wait, in ms; 0
             if none was seen.
-        waiting: Requests that waited there on average when it responded.
     """
 
     served: int
     failed: int
     service_ms: float
-    waiting: float = 0.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -240,15 +237,4 @@
     reply: "asyncio.Future[KeyUse]"
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class SharesInForce:
-    """Which part of the requests for busy servers is to be sent.
-
-    Attributes:
-        shares: Share by name of the server; all of them for the others.
-    """
-
-    shares: Mapping[str, float]
-
-
-DispatcherMessage = WorldChange | Place | Finished | TakeKeyUse | SharesInForce
+DispatcherMessage = WorldChange | Place | Finished | TakeKeyUse
--- a/berylweir/gateway/ownership/balance.py
+++ b/berylweir/gateway/ownership/balance.py
@@ -93,20 +93,6 @@
     return tuple(part for move in moves for part in _split(plan, move))
 
 
-def rates_of(
-    table: models.KeyTable, demand: ownership.Demand
-) -> dict[str, float]:
-    """Returns the requests a second for the keys of each server, by name."""
-    plan = _start(table, (), demand)
-    rates: dict[str, float] = {}
-    for found in table.ranges:
-        if found.owner is not None:
-            name = found.owner.server
-            rate = plan.rate(found.first, found.last)
-            rates[name] = rates.get(name, 0.0) + rate
-    return rates
-
-
 def _start(
     table: models.KeyTable,
     candidates: Sequence[ownership.Candidate],
--- a/berylweir/gateway/ownership/demand.py
+++ b/berylweir/gateway/ownership/demand.py
@@ -21,30 +21,6 @@
 _LN2 = 0.6931
 
 
-class Rate:
-    """Moving average of how often something happens."""
-
-    def __init__(self) -> None:
-        """Creates a rate of something that hasn't happened."""
-        self._per_s = 0.0
-        self._decayed_s: float | None = None
-
-    def add(self, count: int) -> None:
-        """Counts what happened."""
-        self._per_s += count * _LN2 / _HALF_LIFE_S
-
-    def per_s(self, now_s: float) -> float:
-        """Returns how often it happens a second.
-
-        Args:
-            now_s: Time, in seconds.
-        """
-        if self._decayed_s is not None:
-            self._per_s *= 0.5 ** ((now_s - self._decayed_s) / _HALF_LIFE_S)
-        self._decayed_s = now_s
-        return self._per_s
-
-
 class DemandMeter:
     """Turns the VMs' reports on one group into rates."""
 
--- a/berylweir/gateway/ownership/lease.py
+++ b/berylweir/gateway/ownership/lease.py
@@ -117,14 +117,11 @@
             and clock.boot_s() - self._confirmed_s < holds.AUTHORITY_S
         )
 
-    def standing(
-        self, tables: dict[str, int], shares: dict[str, float]
-    ) -> peers.Standing:
+    def standing(self, tables: dict[str, int]) -> peers.Standing:
         """Returns where this gateway stands, for others.
 
         Args:
             tables: Revision of each known key table.
-            shares: Part of the requests for busy servers to be sent.
         """
         heard_s = clock.boot_s() - self._heard_s
         return peers.Standing(
@@ -135,7 +132,6 @@
             heard_s if self._heard_s > float("-inf") else None,
             clock.boot_s() - self._confirmed_s if self.is_holder else None,
             tables,
-            shares if self.is_holder else {},
         )
 
     def see_vms(self, vms: Mapping[str, models.Vm]) -> None:
--- a/berylweir/gateway/ownership/task.py
+++ b/berylweir/gateway/ownership/task.py
@@ -14,7 +14,6 @@
 from berylweir.gateway import messages
 from berylweir.gateway import models
 from berylweir.gateway.dispatch import task as dispatch
-from berylweir.gateway.ownership import admission
 from berylweir.gateway.ownership import announcing
 from berylweir.gateway.ownership import balance
 from berylweir.gateway.ownership import candidates
@@ -97,7 +96,6 @@
         self._raised: set[str] = set()
         self._demand: dict[str, demand.DemandMeter] = {}
         self._server_meter = demand.ServerMeter()
-        self._admission = admission.Admission()
         self._candidates = candidates.Candidates(self._server_meter)
         self._wake = asyncio.Event()
         self._dirty = asyncio.Event()
@@ -111,7 +109,7 @@
             on_take=self._begin,
             on_former_ended=self._former_ended,
             on_lose=self._end,
-            on_standing=self._take_standing,
+            on_standing=self._compare_tables,
             is_store_up=is_store_up,
         )
         self._announcer = announcing.Announcer(me, peer_client)
@@ -161,9 +159,7 @@
                 | peers.TellTableChanges()
             ):
                 pass
-        return self._lease.standing(
-            self._table_revisions(), self._admission.shares
-        )
+        return self._lease.standing(self._table_revisions())
 
     # What is known
 
@@ -211,7 +207,6 @@
         for group, keys in use.keys.items():
             self._demand.setdefault(group, demand.DemandMeter()).add(keys)
         self._server_meter.add(use.servers)
-        self._admission.add(use.servers)
 
     def _take_report(self) -> "asyncio.Future[peers.ReportUse]":
         reply: asyncio.Future[messages.KeyUse] = (
@@ -229,9 +224,8 @@
         self._dispatcher.post(messages.TakeKeyUse(reply))
         return report
 
-    def _take_standing(self, standing: peers.Standing) -> None:
-        """Takes the shares; reads the tables again if the holder has newer."""
-        self._dispatcher.post(messages.SharesInForce(standing.shares))
+    def _compare_tables(self, standing: peers.Standing) -> None:
+        """Reads the tables again if the holder has newer ones."""
         for name, revision in standing.tables.items():
             known = self._tables.get(name)
             if known is None or known.revision < revision:
@@ -276,7 +270,6 @@
                 reply: asyncio.Future[messages.KeyUse] = loop.create_future()
                 self._dispatcher.post(messages.TakeKeyUse(reply))
                 self._take_use(await reply)
-                self._share_out()
             for name, group in list(self._groups.items()):
                 if group.is_keyed and self._lease.may_act:
                     await self._balance_group(name, is_due=is_due)
@@ -296,20 +289,6 @@
             if self._dirty.is_set():
                 await asyncio.sleep(_SETTLE_S)
 
-    def _share_out(self) -> None:
-        """Limits the requests for busy servers."""
-        now_s = clock.boot_s()
-        rates: dict[str, float] = {}
-        for name, table in self._tables.items():
-            if name in self._demand:
-                found = self._demand[name].demand(now_s)
-                rates |= balance.rates_of(table, found)
-        slots = {name: max(1, s.slots) for name, s in self._servers.items()}
-        self._admission.update(rates, slots, now_s)
-        shares = self._admission.shares
-        self._metrics.gauge("admission.limited", len(shares))
-        self._dispatcher.post(messages.SharesInForce(shares))
-
     async def _balance_group(self, name: str, *, is_due: bool) -> None:
         table = self._tables.get(name)
         found = self._candidates.of(
--- a/berylweir/gateway/peers/messages.py
+++ b/berylweir/gateway/peers/messages.py
@@ -16,7 +16,6 @@
     served: int
     failed: int
     service_ms: float
-    waiting: float = 0.0
 
 
 class ReportUse(msgspec.Struct, frozen=True, tag="use"):
@@ -146,8 +145,6 @@
         confirmed_s: Time since it last saw itself in the lease, in seconds;
             None if it doesn't hold it.
         tables: Revision of each key table that it knows, by object name.
-        shares: If it is the holder, which part of the requests for busy
-            servers is to be sent, by name of the server.
     """
 
     incarnation: str
@@ -156,7 +153,6 @@
     heard_s: float | None = None
     confirmed_s: float | None = None
     tables: dict[str, int] = {}
-    shares: dict[str, float] = {}
 
 
 class View(msgspec.Struct, frozen=True, tag="known"):
@@ -215,7 +211,7 @@
         use.vm,
         {group: list(keys) for group, keys in use.keys.items()},
         {
-            name: ServerUse(s.served, s.failed, s.service_ms, s.waiting)
+            name: ServerUse(s.served, s.failed, s.service_ms)
             for name, s in use.servers.items()
         },
     )
@@ -227,7 +223,7 @@
         message.vm,
         {group: tuple(keys) for group, keys in message.keys.items()},
         {
-            name: gateway.ServerUse(s.served, s.failed, s.service_ms, s.waiting)
+            name: gateway.ServerUse(s.served, s.failed, s.service_ms)
             for name, s in message.servers.items()
         },
     )
