Keep what is reachable in one place

The dispatcher held the state of zones, each server's state that of itself, and the choice of an owner and of any server stood in one function. A class owns both states now, and each choice has a function. No decision changes; tests/gateway/dispatch passes.

--- a/berylweir/gateway/dispatch/models.py
+++ b/berylweir/gateway/dispatch/models.py
@@ -7,7 +7,6 @@
 from berylweir.gateway import models
 from berylweir.gateway.dispatch import cold
 from berylweir.gateway.dispatch import idle as idle_module
-from berylweir.gateway.dispatch import reach as reach_module
 
 # Weight of a new service time in the moving average.
 _SERVICE_WEIGHT = 0.06
@@ -56,7 +55,6 @@
             none was seen.
         avoid_until_s: Until when other servers are preferred.
         room_from_s: Until when it is taken as full after a rejection.
-        reach: Whether it can be reached.
     """
 
     server: models.BackendServer
@@ -69,9 +67,6 @@
     service_ms: float = 0.0
     avoid_until_s: float = float("-inf")
     room_from_s: float = float("-inf")
-    reach: reach_module.ServerReach = dataclasses.field(
-        default_factory=reach_module.ServerReach
-    )
     served: int = 0
     failed: int = 0
     _others: float = 0.0
@@ -99,10 +94,9 @@
             return 1.0
         return self._slowness
 
-    def begin(self, now_s: float) -> None:
+    def begin(self) -> None:
         """Counts a request that is sent to the server."""
         self.in_flight += 1
-        self.reach.tried(now_s)
 
     @property
     def is_rejecting(self) -> bool:
@@ -127,7 +121,6 @@
             self._reported_s = now_s
         if finished.cold_ms is not None and finished.cold_ms > 0:
             self.cold_until_s = now_s + finished.cold_ms / 1000.0
-        self.reach.see(finished.evidence, now_s)
         match finished.evidence:
             case messages.Evidence.SERVED:
                 self.served += 1
--- a/berylweir/gateway/dispatch/reach.py
+++ b/berylweir/gateway/dispatch/reach.py
@@ -1,9 +1,14 @@
 """Which backend servers and availability zones can't be reached."""
 
+import collections
+from collections.abc import Collection
 import dataclasses
+import logging
 
 from berylweir.gateway import messages
+from berylweir.gateway import models
 
+_LOGGER = logging.getLogger(__name__)
 # Pause after a connection that was not established, doubled with each further
 # one up to the longest, in seconds.
 _PAUSE_S = 0.6
@@ -82,3 +87,52 @@
             self._until_s = now_s + _ZONE_PAUSE_S
         elif evidence in _RESPONDED:
             self._lost.clear()
+
+
+class Reach:
+    """What this VM can reach, from what its requests showed."""
+
+    def __init__(self) -> None:
+        """Creates a reach of which nothing is known to be lost."""
+        self._servers: collections.defaultdict[models.Life, ServerReach] = (
+            collections.defaultdict(ServerReach)
+        )
+        self._zones: collections.defaultdict[str, ZoneReach] = (
+            collections.defaultdict(ZoneReach)
+        )
+
+    def keep(self, lives: Collection[models.Life]) -> None:
+        """Forgets all servers but some."""
+        for gone in self._servers.keys() - set(lives):
+            del self._servers[gone]
+
+    def may_try(self, server: models.BackendServer, now_s: float) -> bool:
+        """Returns whether a request may go to a server."""
+        return self._servers[server.life].may_try(now_s) and self._zones[
+            server.availability_zone
+        ].may_try(now_s)
+
+    def tried(self, server: models.BackendServer, now_s: float) -> None:
+        """Notes a request to a server."""
+        self._servers[server.life].tried(now_s)
+        self._zones[server.availability_zone].tried(now_s)
+
+    def see(
+        self,
+        server: models.BackendServer,
+        evidence: messages.Evidence,
+        now_s: float,
+    ) -> None:
+        """Takes what a request to a server showed."""
+        self._servers[server.life].see(evidence, now_s)
+        zone = self._zones[server.availability_zone]
+        was_lost = zone.is_lost
+        zone.see(server.name, evidence, now_s)
+        if zone.is_lost != was_lost:
+            _LOGGER.warning(
+                "zone lost" if zone.is_lost else "zone regained",
+                extra={
+                    "zone": server.availability_zone,
+                    "server": server.name,
+                },
+            )
--- a/berylweir/gateway/dispatch/task.py
+++ b/berylweir/gateway/dispatch/task.py
@@ -1,10 +1,8 @@
 """The task that owns the state of all backend servers on this VM."""
 
 import asyncio
-import collections
 from collections.abc import Mapping
 import dataclasses
-import logging
 import random
 import typing
 
@@ -19,7 +17,6 @@
 from berylweir.supervision import mailbox
 from berylweir.supervision import models as supervision
 
-_LOGGER = logging.getLogger(__name__)
 _MAILBOX = 10_000  # messages; far more than a VM has requests at a time
 # Part of a server's connections that the VMs share out.
 _CONNECTION_SHARE = 0.8
@@ -78,9 +75,7 @@
         self._evacuated: frozenset[str] = frozenset()
         self._vms: Mapping[str, models.Vm] = {}
         self._waiting: list[messages.Place] = []
-        self._zones: collections.defaultdict[str, reach.ZoneReach] = (
-            collections.defaultdict(reach.ZoneReach)
-        )
+        self._reach = reach.Reach()
         # By name of the server and rate that it tolerates.
         self._cold_shares: dict[tuple[str, float], cold.ColdShare] = {}
 
@@ -156,6 +151,7 @@
         lives = {server.life: server for server in servers.values()}
         for life in [known for known in self._servers if known not in lives]:
             self._servers.pop(life).idle.close()
+        self._reach.keep(lives)
         for life, server in lives.items():
             state = self._servers.get(life)
             if state is None:
@@ -234,23 +230,34 @@
             return None
         group = self._groups[wanted.group]
         if group.settings.is_keyed and wanted.key is not None:
-            owner = (
-                decisions.owner_of(group.table, wanted.key)
-                if group.table is not None
-                else None
-            )
-            state = self._servers.get(owner) if owner is not None else None
-            if owner is not None and owner == wanted.disowned:
-                return _not_placed(_Reason.NO_OWNER)
-            if state is None or not self._is_usable(state):
-                return _not_placed(_Reason.NO_OWNER)
-            if not self._may_try(state, now_s):
-                return messages.NotPlaced(_Reason.UNREACHABLE, _LOST_S)
-            if not self._may_send(state, group.settings, now_s):
-                return _not_placed(_Reason.COLD)
-            if decisions.is_full(state, now_s):
-                return _not_placed(_Reason.FULL, decisions.room_s(state, now_s))
-            return self._send(message, state, group, now_s)
+            return self._try_owner(message, group, wanted.key, now_s)
+        return self._try_any(message, group, now_s)
+
+    def _try_owner(
+        self, message: messages.Place, group: _Group, key: int, now_s: float
+    ) -> messages.NotPlaced | None:
+        owner = (
+            decisions.owner_of(group.table, key)
+            if group.table is not None
+            else None
+        )
+        state = self._servers.get(owner) if owner is not None else None
+        if owner is not None and owner == message.wanted.disowned:
+            return _not_placed(_Reason.NO_OWNER)
+        if state is None or not self._is_usable(state):
+            return _not_placed(_Reason.NO_OWNER)
+        if not self._reach.may_try(state.server, now_s):
+            return messages.NotPlaced(_Reason.UNREACHABLE, _LOST_S)
+        if not self._may_send(state, group.settings, now_s):
+            return _not_placed(_Reason.COLD)
+        if decisions.is_full(state, now_s):
+            return _not_placed(_Reason.FULL, decisions.room_s(state, now_s))
+        return self._send(message, state, group, now_s)
+
+    def _try_any(
+        self, message: messages.Place, group: _Group, now_s: float
+    ) -> messages.NotPlaced | None:
+        wanted = message.wanted
         members = self._members.get(wanted.group, [])
         sample = decisions.sample(members, self._random)
         usable = [s for s in sample if self._is_usable(s)] or [
@@ -261,8 +268,10 @@
         warm = [s for s in usable if self._may_send(s, group.settings, now_s)]
         if not warm:
             return _not_placed(_Reason.COLD)
-        near = [s for s in warm if self._may_try(s, now_s)] or warm
-        fresh = [s for s in near if s.server.life not in wanted.tried] or near
+        found = [
+            s for s in warm if self._reach.may_try(s.server, now_s)
+        ] or warm
+        fresh = [s for s in found if s.server.life not in wanted.tried] or found
         state = decisions.choose(
             fresh,
             self._zone,
@@ -283,33 +292,6 @@
             and server.availability_zone not in self._evacuated
         )
 
-    def _may_try(self, state: dispatch.ServerState, now_s: float) -> bool:
-        """Returns whether a server is likely to be reached."""
-        return state.reach.may_try(now_s) and self._zone_of(state).may_try(
-            now_s
-        )
-
-    def _zone_of(self, state: dispatch.ServerState) -> reach.ZoneReach:
-        return self._zones[state.server.availability_zone]
-
-    def _see_zone(
-        self,
-        state: dispatch.ServerState,
-        evidence: messages.Evidence,
-        now_s: float,
-    ) -> None:
-        zone = self._zone_of(state)
-        was_lost = zone.is_lost
-        zone.see(state.server.name, evidence, now_s)
-        if zone.is_lost != was_lost:
-            _LOGGER.warning(
-                "zone lost" if zone.is_lost else "zone regained",
-                extra={
-                    "zone": state.server.availability_zone,
-                    "server": state.server.name,
-                },
-            )
-
     def _may_send(
         self,
         state: dispatch.ServerState,
@@ -360,8 +342,8 @@
             now_s,
             state.load(now_s),
         )
-        state.begin(now_s)
-        self._zone_of(state).tried(now_s)
+        state.begin()
+        self._reach.tried(state.server, now_s)
         message.reply.set_result(placement)
         return None
 
@@ -381,7 +363,7 @@
                 connection.close()
             return
         state.end(message, now_s, max(1, len(self._vms)))
-        self._see_zone(state, message.evidence, now_s)
+        self._reach.see(state.server, message.evidence, now_s)
         if connection is None:
             return
         if state.server.is_draining:
--- a/tests/gateway/dispatch/test_reach.py
+++ b/tests/gateway/dispatch/test_reach.py
@@ -1,6 +1,7 @@
 """Tests of which servers and zones can't be reached."""
 
 from berylweir.gateway import messages
+from berylweir.gateway import models
 from berylweir.gateway.dispatch import reach
 
 _LOST = messages.Evidence.UNREACHABLE
@@ -75,3 +76,30 @@
             found.see(name, _LOST, 0.0)
             found.see("z", _SERVED, 0.0)
         assert not found.is_lost
+
+
+class TestReach:
+    """Servers and zones together."""
+
+    def server(self, name: str, zone: str) -> models.BackendServer:
+        """Returns a server."""
+        return models.BackendServer(
+            name, 1, "g", "127.0.0.1", 1, zone, 3, False, 0.0, 1
+        )
+
+    def test_a_lost_zone_takes_its_servers_along(self):
+        """Guards against requests to the servers behind a cut."""
+        found = reach.Reach()
+        for name in "abc":
+            found.see(self.server(name, "far"), _LOST, 0.0)
+        assert not found.may_try(self.server("d", "far"), 0.1)
+        assert found.may_try(self.server("e", "near"), 0.1)
+
+    def test_a_server_that_is_gone_is_forgotten(self):
+        """Guards against a memory that grows with each release."""
+        found = reach.Reach()
+        server = self.server("a", "far")
+        found.see(server, _LOST, 0.0)
+        assert not found.may_try(server, 0.1)
+        found.keep(())
+        assert found.may_try(server, 0.1)
--- a/tests/gateway/dispatch/test_state.py
+++ b/tests/gateway/dispatch/test_state.py
@@ -31,7 +31,7 @@
         "a", "g", None, 1, True, 400.0, False, False, frozenset(), None, 1, 1, 1
     )
     placement = messages.Placement(state.server, None, now_s, placed_at)
-    state.begin(now_s)
+    state.begin()
     state.end(
         messages.Finished(
             placement, wanted, evidence, None, load, None, None, elapsed_s
@@ -207,7 +207,7 @@
         finish(state, messages.Evidence.SHED, 10.0)
         now_s = state.room_from_s + 30.0
         assert not decisions.is_full(state, now_s)
-        state.begin(now_s)
+        state.begin()
         assert decisions.is_full(state, now_s)
 
     def test_a_late_reset_is_no_rejection(self):
