Log servers that are lost and regained

Cause: a refusal unreachable couldn't be followed to its cause: no line said that this VM had stopped sending to a server.

Change: one line when a connection isn't established and one when the server responds again.

--- a/berylweir/gateway/dispatch/reach.py
+++ b/berylweir/gateway/dispatch/reach.py
@@ -37,6 +37,11 @@
     _failures: int = 0
     _until_s: float = float("-inf")
 
+    @property
+    def is_lost(self) -> bool:
+        """Whether the last connection was not established."""
+        return self._failures > 0
+
     def may_try(self, now_s: float) -> bool:
         """Returns whether a request may go to the server."""
         return self._until_s <= now_s
@@ -124,15 +129,22 @@
         now_s: float,
     ) -> None:
         """Takes what a request to a server showed."""
-        self._servers[server.life].see(evidence, now_s)
+        found = self._servers[server.life]
         zone = self._zones[server.availability_zone]
-        was_lost = zone.is_lost
+        were_lost = found.is_lost, zone.is_lost
+        found.see(evidence, now_s)
         zone.see(server.name, evidence, now_s)
-        if zone.is_lost != was_lost:
+        known = {
+            "server": server.name,
+            "zone": server.availability_zone,
+            "evidence": evidence.value,
+        }
+        if found.is_lost != were_lost[0]:
+            _LOGGER.info(
+                "server lost" if found.is_lost else "server regained",
+                extra=known,
+            )
+        if zone.is_lost != were_lost[1]:
             _LOGGER.warning(
-                "zone lost" if zone.is_lost else "zone regained",
-                extra={
-                    "zone": server.availability_zone,
-                    "server": server.name,
-                },
+                "zone lost" if zone.is_lost else "zone regained", extra=known
             )
--- a/tests/gateway/dispatch/test_reach.py
+++ b/tests/gateway/dispatch/test_reach.py
@@ -1,5 +1,7 @@
 """Tests of which servers and zones can't be reached."""
 
+import logging
+
 from berylweir.gateway import messages
 from berylweir.gateway import models
 from berylweir.gateway.dispatch import reach
@@ -95,6 +97,15 @@
         assert not found.may_try(self.server("d", "far"), 0.1)
         assert found.may_try(self.server("e", "near"), 0.1)
 
+    def test_a_lost_server_is_told_once(self, caplog):
+        """Guards against a failed request whose cause is in no log."""
+        caplog.set_level(logging.INFO)
+        found = reach.Reach()
+        server = self.server("a", "far")
+        for evidence in (_LOST, _LOST, _SERVED, _SERVED):
+            found.see(server, evidence, 0.0)
+        assert caplog.messages == ["server lost", "server regained"]
+
     def test_a_server_that_is_gone_is_forgotten(self):
         """Guards against a memory that grows with each release."""
         found = reach.Reach()
--- a/tests/gateway/test_followers.py
+++ b/tests/gateway/test_followers.py
@@ -259,6 +259,17 @@
         assert kept is not None and len(kept) == history.MAX_CHANGES
         assert found.since(11 + history.MAX_CHANGES) == []
 
+    def test_news_are_told_from_what_is_known(self):
+        """Guards against a spare source that tells of nothing, or always."""
+        found = history.History()
+        assert found.has_news(0)
+        found.restart(10)
+        assert found.has_news(9)
+        assert not found.has_news(10)
+        found.add([store.Change(stored("n", 12), False)], 12)
+        assert found.has_news(11)
+        assert not found.has_news(12)
+
 
 class TestSources:
     """Who watches the store."""
