Tell the router of prolonged grants with the next tick

Change: homes are sent with the tick after an answer that prolonged a grant, in the keeper and in the replay's keeper.

The gateway doesn't use this code.

--- a/berylweir/keeper/grants/homes.py
+++ b/berylweir/keeper/grants/homes.py
@@ -78,6 +78,7 @@
         self._nonce = random.getrandbits(48)
         self._next_request_s = 0.0
         self._loads = loads.SliceLoads()
+        self._are_homes_prolonged = False
 
     async def run(self, context: supervision.ChildContext) -> None:
         """Runs until asked to stop."""
@@ -155,6 +156,8 @@
             self._next_request_s = now + self._timings.renew_s
             self._ask_delegations(now)
             self._metrics.gauge("keeper.homes", len(self._homes))
+        if self._are_homes_prolonged:
+            self._send_homes()
         for home in tuple(self._homes.values()):
             self._tick_home(home, now)
 
@@ -186,7 +189,7 @@
         home = self._homes.get(message.server)
         if home is None:
             return
-        before = home.granted
+        before = home
         home = decisions.answered(
             home,
             message.request,
@@ -195,8 +198,11 @@
             self._safety,
         )
         self._homes[message.server] = home
-        if home.granted != before:
+        if home.granted != before.granted:
             self._send_homes()
+        elif home.accepted_until_s != before.accepted_until_s:
+            # Servers are asked together; their answers are passed on together.
+            self._are_homes_prolonged = True
         if message.request is None and self._next_grant(home) is not None:
             self._ask_server(home)
 
@@ -302,6 +308,7 @@
         )
 
     def _send_homes(self) -> None:
+        self._are_homes_prolonged = False
         self._out.router.put(
             peers.HomesUpdate,
             peers.HomesUpdate(
--- a/berylweir/replay/keepers.py
+++ b/berylweir/replay/keepers.py
@@ -57,6 +57,7 @@
         self._platform_heard_s = 0.0
         self._next_beat_s = 0.0
         self._table_dirty = True
+        self._homes_dirty = False
         self._views: dict[str, authority.View] = {}
         self._name = f"keeper.{vm.name}"
         self._router = f"router.{vm.name}"
@@ -125,11 +126,13 @@
         home = self._homes.get(message.server)
         if home is None:
             return
-        before = home.granted
+        before = home
         home = grants.answered(home, message.request, message.status, now)
         self._homes[message.server] = home
-        if home.granted != before:
+        if home.granted != before.granted:
             self._send_homes()
+        elif home.accepted_until_s != before.accepted_until_s:
+            self._homes_dirty = True
         # A home without a delegation has no grant to send. Asking again at
         # once would probe the server as fast as it answers.
         if (
@@ -314,6 +317,8 @@
         if self._table_dirty:
             self._table_dirty = False
             self._send_table()
+            self._homes_dirty = True
+        if self._homes_dirty:
             self._send_homes()
 
     def _tick_home(self, home: grant_models.HomeState, now: float) -> None:
@@ -422,6 +427,7 @@
         )
 
     def _send_homes(self) -> None:
+        self._homes_dirty = False
         self._world.after(
             0,
             self._router,
