Don't count a target as fenced for keys it never took

Cause: a new keeper asked whether a server had accepted its tokens for the keys that it owns. The target of a move that the former keeper left under way may be granted the moving keys by that one without owning them yet. If such keys moved on, nobody waited for the former keeper.

Change: until such a target has accepted a new token for those keys, they go to nobody else before the former keeper's last grant has ended.

Before: test_keys_that_a_former_keeper_may_grant_are_waited_for saw the keys granted on after 2.65 s, 3.0 s being the bound. After: it passes, as do tests/gateway/ownership, test_keyed_path.py and test_owner_history.py, 59 tests.

--- a/berylweir/gateway/ownership/granting.py
+++ b/berylweir/gateway/ownership/granting.py
@@ -76,6 +76,10 @@
         self._transfers: dict[Transfer, asyncio.Task[None]] = {}
         self._cleared: set[Transfer] = set()
         self._settled: set[Transfer] = set()
+        # Keys that a former keeper may still be granting to the target of a
+        # move, which hasn't accepted a token of this one for them.
+        self._doubtful: dict[models.Life, set[tuple[int, int]]] = {}
+        self._inherited: set[str] = set()
         self._is_active = False
 
     def begin(self, former_acts_until_s: float) -> None:
@@ -87,6 +91,8 @@
         """
         self.stop()
         self._holds.begin(former_acts_until_s + holds.longest_hold_s())
+        self._doubtful.clear()
+        self._inherited.clear()
         self._is_active = True
 
     def former_ended(self) -> None:
@@ -148,6 +154,7 @@
         """Renews and moves as a table says."""
         if not self._is_active:
             return
+        self._inherit(table)
         owners = {r.owner for r in table.ranges if r.former is None}
         wanted = {(table.group, o) for o in owners if o is not None}
         for key in [k for k in self._renewals if k[0] == table.group]:
@@ -174,6 +181,16 @@
                     self._carry_out(transfer)
                 )
 
+    def _inherit(self, table: models.KeyTable) -> None:
+        """Notes the moves that a former keeper left under way."""
+        if table.group in self._inherited:
+            return
+        self._inherited.add(table.group)
+        for found in table.ranges:
+            if found.former is not None and found.owner is not None:
+                keys = self._doubtful.setdefault(found.owner, set())
+                keys.add((found.first, found.last))
+
     # Renewals
 
     async def _renew(self, group: str, life: models.Life) -> None:
@@ -234,6 +251,11 @@
         match delivery:
             case grants.Accepted():
                 hold.accepted(clock.boot_s())
+                self._doubtful[life] = {
+                    (first, last)
+                    for first, last in self._doubtful.get(life, ())
+                    if first < found.first or last > found.last
+                }
                 return True
             case courier.NotDelivered() | grants.Invalid():
                 # Another server that took over the address refuses orders.
@@ -325,10 +347,16 @@
             # No renewal of the range is under way, and none will follow.
             frozen_s = self._holds.of(former).until_s
             is_fenced = self._holds.of(former).is_fenced
+        is_doubtful = any(
+            first <= found.last and last >= found.first
+            for first, last in self._doubtful.get(former, ())
+        )
         await asyncio.sleep(_ANNOUNCE_S)
 
         def until_s() -> float:
             # The bound on a former keeper's grants may still be shortened.
+            if is_doubtful:
+                return max(frozen_s, self._holds.inherited_until_s)
             return frozen_s if is_fenced else self._holds.until_s(former)
 
         while clock.boot_s() < until_s() and not self._has_ended(former):
@@ -340,6 +368,9 @@
                 if isinstance(delivery, grants.Accepted):
                     # A grant that got no answer may still be carried out.
                     free_s = self._holds.of(former).unanswered_until_s
+                    if is_doubtful:
+                        # The former keeper may grant the keys once more.
+                        free_s = until_s()
                     await _sleep_until(min(free_s, until_s()))
                     return delivery.handover
             await asyncio.sleep(
--- a/berylweir/gateway/ownership/holds.py
+++ b/berylweir/gateway/ownership/holds.py
@@ -117,3 +117,8 @@
         if hold.is_fenced:
             return hold.until_s
         return max(hold.until_s, self._inherited_until_s)
+
+    @property
+    def inherited_until_s(self) -> float:
+        """Latest end of any grant of a former keeper."""
+        return self._inherited_until_s
