Limit what a server may send besides a response, and reset lost connections

Cause: a server in trouble may send bytes without end. A status line, header field, header value, 1xx responses, chunk extensions, trailers and responses to other requests were read until the deadline; earlier measurements on this code gave a whole core and up to 88 MB within 3 s.

Change: ResponseLimits bounds the head with the 1xx responses before it, the framing of a body in relation to the body, and skipped responses; beyond a limit the exchange fails as malformed. SO_LINGER without time is now set when the connection is opened, so that each way in which it ends sends a reset.

--- a/berylweir/router/backends/connection.py
+++ b/berylweir/router/backends/connection.py
@@ -12,6 +12,7 @@
 
 from berylweir import records
 from berylweir.router.backends import exceptions
+from berylweir.router.backends import response_limits
 
 _PAUSE_READING_BYTES = 262_144
 # TCP keepalive ends a silent connection after 3 s: the first probe is sent
@@ -55,6 +56,7 @@
         *,
         allow_close_delimited: bool = False,
         reset_on_close: bool = False,
+        limits: response_limits.ResponseLimits | None = None,
     ) -> None:
         """Creates a connection that is not open yet.
 
@@ -62,9 +64,12 @@
             allow_close_delimited: Whether the end of the connection may mark
                 the end of a response without Content-Length and
                 Transfer-Encoding.
-            reset_on_close: Whether closing the connection during an exchange
-                sends a TCP reset.
+            reset_on_close: Whether the end of the connection sends a TCP reset,
+                which discards bytes that the other end hasn't received. This
+                includes the end by keepalive and the end of the process.
+            limits: Limits on each response; None for the defaults.
         """
+        self._limits = limits or response_limits.ResponseLimits()
         self._allow_close_delimited = allow_close_delimited
         self._reset_on_close = reset_on_close
         self._transport: asyncio.Transport | None = None
@@ -145,6 +150,8 @@
         self._has_framing = False
         self._is_skipped = False
         self._matches_request: Callable[[Headers], bool] | None = None
+        self._meter = response_limits.ResponseMeter(self._limits)
+        self._body_bytes = 0
 
     # Called by the event loop
 
@@ -153,9 +160,10 @@
         self._transport = typing.cast(asyncio.Transport, transport)
         self._opened_s = self._loop.time()
         self._complete = True
-        self._poll.register(
-            self._transport.get_extra_info("socket").fileno(), select.POLLIN
-        )
+        sock = self._transport.get_extra_info("socket")
+        self._poll.register(sock.fileno(), select.POLLIN)
+        if self._reset_on_close:
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _LINGER_RESET)
 
     def data_received(self, data: bytes) -> None:
         """Passes received bytes to the parser."""
@@ -166,6 +174,8 @@
             # kept, they could be taken for the response to the next request.
             self._fail(exceptions.MalformedResponse("unexpected bytes"))
             return
+        was_head_complete = self._head is not None
+        body_bytes_before = self._body_bytes
         try:
             self._parser.feed_data(data)
         except (
@@ -173,6 +183,18 @@
             httptools.HttpParserUpgrade,
         ) as error:
             self._fail(exceptions.MalformedResponse(str(error)))
+            return
+        exceeded_limit: str | None = None
+        if self._is_skipped:
+            exceeded_limit = self._meter.count_skipped(len(data))
+        elif self._head is None:
+            exceeded_limit = self._meter.count_head(len(data))
+        elif was_head_complete and not self._complete:
+            exceeded_limit = self._meter.count_body(
+                len(data), self._body_bytes - body_bytes_before
+            )
+        if exceeded_limit is not None:
+            self._fail(exceptions.MalformedResponse(exceeded_limit))
 
     def connection_lost(self, exc: Exception | None) -> None:
         """Fails an exchange in progress with `ConnectionCut`."""
@@ -248,6 +270,7 @@
         if self._is_skipped:
             return
         self._body.append(body)
+        self._body_bytes += len(body)
         self._buffered += len(body)
         if self._buffered > _PAUSE_READING_BYTES and not self._is_paused:
             self._is_paused = True
@@ -380,15 +403,10 @@
     def close(self) -> None:
         """Closes the connection and fails an exchange in progress.
 
-        With `reset_on_close`, bytes of such an exchange that were not yet
-        delivered are discarded. Otherwise the operating system continues to
-        send them, and the server may run the request.
+        Without `reset_on_close`, the operating system continues to send bytes
+        that were not yet delivered, and the server may run the request.
         """
         if self._transport is not None and not self._is_closed:
-            if self._reset_on_close and not self._complete:
-                self._transport.get_extra_info("socket").setsockopt(
-                    socket.SOL_SOCKET, socket.SO_LINGER, _LINGER_RESET
-                )
             self._transport.abort()
         self._is_closed = True
 
@@ -443,8 +461,7 @@
         timeout_s: Time limit for opening it, in seconds.
         allow_close_delimited: Whether the end of the connection may mark the
             end of a response without Content-Length and Transfer-Encoding.
-        reset_on_close: Whether closing the connection during an exchange sends
-            a TCP reset.
+        reset_on_close: Whether the end of the connection sends a TCP reset.
 
     Raises:
         OSError: If it can't be opened.
