End response bodies that are no response, and streams past the deadline

Cause: the whole body of an unsigned or encoded response was collected in memory until the deadline, and so was that of a rejection. A signed body without end was streamed for as long as the caller stayed connected, since only the head and the first megabyte were subject to the deadline.

Change: an unsigned or encoded response is given up at its head. The body of a rejection is skipped up to 64 KiB and for 0.2 s, and the rejection holds even if its body is malformed. A stream ends at the caller's deadline.

--- a/berylweir/gateway/exchange/attempt.py
+++ b/berylweir/gateway/exchange/attempt.py
@@ -18,6 +18,10 @@
 # A response of up to this many bytes is buffered before it is returned, so that
 # the request can be retried on another server if the response is truncated.
 _MAX_BUFFERED_BYTES = 1_048_576
+# The body of a rejection is read, so that the connection can be reused, up to
+# this many bytes and for this time in seconds. Rejections are short.
+_MAX_REJECTION_BYTES = 65_536
+_REJECTION_TIMEOUT_S = 0.2
 
 
 class Attempt:
@@ -109,7 +113,9 @@
             return outcomes.NotSent(), messages.AttemptResult.STALE
         try:
             async with asyncio.timeout(max(0.0, remaining_s)):
-                return await self._read_response(connection)
+                return await self._read_response(
+                    connection, _stream_deadline_s(request, requirements)
+                )
         except TimeoutError:
             return outcomes.OutOfTime(), messages.AttemptResult.EXPIRED
         except http_exceptions.ExchangeError:
@@ -121,22 +127,31 @@
             return outcomes.Unknown(), attempt_result
 
     async def _read_response(
-        self, connection: http.Connection
+        self, connection: http.Connection, stream_deadline_s: float
     ) -> tuple[outcomes.Outcome, messages.AttemptResult]:
         raw_head = await connection.read_head()
         head = requests.decode_response(raw_head.status, raw_head.headers)
         self._response_head = head
+        if head.reports_not_run:
+            await _skip_body(connection)
+            attempt_result = (
+                messages.AttemptResult.MISDIRECTED
+                if head.status == 421
+                else messages.AttemptResult.SHED
+            )
+            return outcomes.NotRun(attempt_result), attempt_result
+        if not head.is_signed or head.has_content_encoding:
+            # The body isn't the server's response and may have no end.
+            return outcomes.Unknown(), messages.AttemptResult.BROKEN
         chunks: list[bytes] = []
         size = 0
         while chunk := await connection.read_body():
             chunks.append(chunk)
             size += len(chunk)
-            if (
-                size > _MAX_BUFFERED_BYTES
-                and head.is_signed
-                and not head.has_content_encoding
-            ):
-                remaining_body = self._stream_body(connection)
+            if size > _MAX_BUFFERED_BYTES:
+                remaining_body = self._stream_body(
+                    connection, stream_deadline_s
+                )
                 answer = exchange.Answer(
                     head.status,
                     head.headers,
@@ -146,15 +161,6 @@
                 )
                 return outcomes.Answered(answer), messages.AttemptResult.SERVED
         body = b"".join(chunks)
-        if head.reports_not_run:
-            attempt_result = (
-                messages.AttemptResult.MISDIRECTED
-                if head.status == 421
-                else messages.AttemptResult.SHED
-            )
-            return outcomes.NotRun(attempt_result), attempt_result
-        if not head.is_signed or head.has_content_encoding:
-            return outcomes.Unknown(), messages.AttemptResult.BROKEN
         answer = exchange.Answer(
             head.status,
             _drop_content_length(head.headers),
@@ -167,16 +173,26 @@
         return outcomes.Answered(answer), messages.AttemptResult.SERVED
 
     async def _stream_body(
-        self, connection: http.Connection
+        self, connection: http.Connection, deadline_s: float
     ) -> AsyncIterator[bytes]:
         attempt_result = messages.AttemptResult.ABANDONED
         try:
-            while chunk := await connection.read_body():
+            while True:
+                async with asyncio.timeout_at(deadline_s):
+                    chunk = await connection.read_body()
+                if not chunk:
+                    break
+                if self._loop.time() > deadline_s:
+                    # The timeout doesn't expire while data is available.
+                    raise TimeoutError
                 yield chunk
             attempt_result = messages.AttemptResult.SERVED
         except http_exceptions.ExchangeError as error:
             attempt_result = messages.AttemptResult.BROKEN
             raise exceptions.ResponseTruncatedError from error
+        except TimeoutError as error:
+            attempt_result = messages.AttemptResult.EXPIRED
+            raise exceptions.ResponseTruncatedError from error
         finally:
             self._report_result(attempt_result)
 
@@ -207,6 +223,35 @@
         )
 
 
+def _stream_deadline_s(
+    request: exchange.CallerRequest, requirements: messages.ServerRequirements
+) -> float:
+    """Returns when a streamed response must have ended, on the loop's clock.
+
+    A response that has begun may take longer than the route's timeout, but not
+    longer than the caller waits.
+    """
+    if request.head.deadline_ms is None:
+        return requirements.deadline_s
+    return max(
+        requirements.deadline_s,
+        request.head_received_s + request.head.deadline_ms / 1000.0,
+    )
+
+
+async def _skip_body(connection: http.Connection) -> None:
+    """Reads the body of a rejection, unless it is long, slow or malformed."""
+    size = 0
+    try:
+        async with asyncio.timeout(_REJECTION_TIMEOUT_S):
+            while chunk := await connection.read_body():
+                size += len(chunk)
+                if size > _MAX_REJECTION_BYTES:
+                    return
+    except (TimeoutError, http_exceptions.ExchangeError):
+        pass  # The connection is closed, since its response isn't complete.
+
+
 def _drop_content_length(
     headers: tuple[requests.Header, ...],
 ) -> tuple[requests.Header, ...]:
--- a/berylweir/standin/gateway_platform/http.py
+++ b/berylweir/standin/gateway_platform/http.py
@@ -39,6 +39,8 @@
         ends_with_connection: Whether the end of the connection ends the body,
             without a `Content-Length`.
         trailing_bytes: Bytes that are sent after the response.
+        repeats_body: Whether the body is sent again and again in chunks, until
+            the peer closes the connection.
     """
 
     status: int = 200
@@ -47,6 +49,7 @@
     is_truncated: bool = False
     ends_with_connection: bool = False
     trailing_bytes: bytes = b""
+    repeats_body: bool = False
 
 
 Handler = Callable[[Request], Awaitable[Response]]
@@ -117,9 +120,14 @@
         return False
     head_lines = [f"HTTP/1.1 {response.status} -\r\n"]
     head_lines += [f"{n}: {v}\r\n" for n, v in response.headers.items()]
-    if not response.ends_with_connection:
+    if response.repeats_body:
+        head_lines.append("transfer-encoding: chunked\r\n")
+    elif not response.ends_with_connection:
         head_lines.append(f"content-length: {len(response.body)}\r\n")
     writer.write("".join(head_lines).encode("latin-1") + b"\r\n")
+    while response.repeats_body:
+        writer.write(b"%x\r\n%b\r\n" % (len(response.body), response.body))
+        await writer.drain()
     body_sent = response.body
     if response.is_truncated:
         body_sent = body_sent[: len(body_sent) // 2]
--- a/tests/gateway/test_path.py
+++ b/tests/gateway/test_path.py
@@ -137,6 +137,66 @@
             reply = await gateway.ask("/r/2", "a2")
             assert reply.body == server.build_response("a2", "/r/2").body
 
+    @pytest.mark.parametrize(
+        ("status", "headers", "expected_status"),
+        [
+            (200, {}, 502),
+            (200, {"Response-Seal": "x", "Content-Encoding": "br"}, 502),
+            (503, {"Not-Run": "1"}, 503),
+        ],
+        ids=["unsigned", "encoded", "rejection"],
+    )
+    async def test_endless_body_that_is_no_response_is_ended_at_once(
+        self, status, headers, expected_status
+    ):
+        """Guards against holding such a body in memory until the deadline."""
+        async with start_deployment("unsafe", servers=1) as (
+            deployment,
+            gateway,
+        ):
+            deployment.servers["s0"].next_responses.append(
+                http.Response(
+                    status,
+                    {"Request-Id": "a1", **headers},
+                    b"x" * 65_536,
+                    repeats_body=True,
+                )
+            )
+            reply = await gateway.ask(
+                "/r/1", "a1", method="POST", body=b"x", deadline_ms=60_000
+            )
+            assert reply.status == expected_status
+
+            async def is_next_request_served() -> bool:
+                reply = await gateway.ask(
+                    "/r/2", "a2", method="POST", body=b"x"
+                )
+                return reply.status == 200
+
+            # The gateway backs off from a server that rejected a request.
+            await rig.until(is_next_request_served)
+
+    async def test_endless_signed_body_ends_at_the_deadline(self):
+        """Guards against a stream that outlasts the caller's deadline."""
+        async with start_deployment("download", servers=1) as (
+            deployment,
+            gateway,
+        ):
+            deployment.servers["s0"].next_responses.append(
+                http.Response(
+                    200,
+                    {"Request-Id": "a1", "Response-Seal": "x"},
+                    b"x" * 65_536,
+                    repeats_body=True,
+                )
+            )
+            caller = await gateway.connect()
+            caller.send("/r/1", "a1", deadline_ms=1000)
+            async with asyncio.timeout(20.0):
+                with contextlib.suppress(ConnectionError):
+                    while await caller.reader.read(1_000_000):
+                        pass
+
     async def test_truncated_large_response_is_not_completed(self):
         """Guards against a truncated download that looks complete."""
         body = b"x" * 4_000_000
