Close all connections of the router tests' listeners

Cause: with the present pytest an unraisable error fails whichever test the garbage collector runs in. The backend servers of test_wiring and of the router rig left stream writers open when the event loop closed.

Change: tests/listening.py serves connections for tests, and aborts them and waits for their tasks at the end; the three use it. No check is changed.

--- a/tests/router/admission/test_wiring.py
+++ b/tests/router/admission/test_wiring.py
@@ -22,6 +22,7 @@
 from berylweir.router.table import task as table
 from berylweir.standin import deployment
 from berylweir.supervision import models as supervision
+from tests import listening
 
 _NUMBERS = itertools.count(1)
 _HOMES = (peers.HomeServer("s0", "x", 0.0, (), 0.0),)
@@ -64,8 +65,8 @@
     async def read(reader: asyncio.StreamReader, _: asyncio.StreamWriter):
         await reader.read()
 
-    backend = await asyncio.start_server(read, "127.0.0.1", 0)
-    port = backend.sockets[0].getsockname()[1]
+    context = supervision.ChildContext(contextlib.AsyncExitStack())
+    port = await context.stack.enter_async_context(listening.listen(read))
     group = schemas.ServerGroup("files", schemas.Unkeyed(), slots=1)
     update = peers.TableUpdate(
         1,
@@ -88,8 +89,7 @@
             ),
         ),
     )
-    context = supervision.ChildContext(contextlib.AsyncExitStack())
-    async with backend, context.stack:
+    async with context.stack:
         link_port = deployment.free_ports(1)[0]
         keeper = pynng.Pair0(listen=f"tcp://127.0.0.1:{link_port}")
         context.stack.callback(keeper.close)
--- a/tests/router/backends/test_connection.py
+++ b/tests/router/backends/test_connection.py
@@ -11,6 +11,7 @@
 
 from berylweir.router.backends import connection
 from berylweir.router.backends import exceptions
+from tests import listening
 
 _HEAD = b"HTTP/1.1 200 OK\r\n"
 _CHUNKED_HEAD = _HEAD + b"transfer-encoding: chunked\r\n\r\n"
@@ -26,34 +27,17 @@
         self.sent_bytes = 0
         self._start = start
         self._repeated = repeated * (65_536 // len(repeated))
-        self._stack = contextlib.AsyncExitStack()
-        self.port = 0
 
-    async def __aenter__(self) -> "EndlessServer":
-        """Starts to listen."""
-        server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
-        self._stack.callback(server.close)
-        self.port = server.sockets[0].getsockname()[1]
-        return self
-
-    async def __aexit__(self, *_: object) -> None:
-        """Stops listening."""
-        await self._stack.aclose()
-
-    async def _serve(
+    async def serve(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
-        try:
-            await reader.readuntil(b"\r\n\r\n")
-            writer.write(self._start)
-            while self.sent_bytes < _MAX_SENT_BYTES:
-                writer.write(self._repeated)
-                self.sent_bytes += len(self._repeated)
-                await writer.drain()
-        except (ConnectionError, asyncio.IncompleteReadError):
-            pass  # The caller closed the connection.
-        finally:
-            writer.transport.abort()
+        """Serves one connection."""
+        await reader.readuntil(b"\r\n\r\n")
+        writer.write(self._start)
+        while self.sent_bytes < _MAX_SENT_BYTES:
+            writer.write(self._repeated)
+            self.sent_bytes += len(self._repeated)
+            await writer.drain()
 
 
 async def fetch(port: int, **options) -> bytes:
@@ -98,17 +82,19 @@
     )
     async def test_endless_bytes_end_the_exchange(self, start, repeated):
         """Guards against reading them until the deadline."""
-        async with EndlessServer(start, repeated) as server:
+        server = EndlessServer(start, repeated)
+        async with listening.listen(server.serve) as port:
             with pytest.raises(exceptions.MalformedResponse):
-                await asyncio.wait_for(fetch(server.port), _WAIT_S)
+                await asyncio.wait_for(fetch(port), _WAIT_S)
             # Socket buffers hold some megabytes beyond what was read.
             assert server.sent_bytes < _MAX_SENT_BYTES // 2
 
     async def test_endless_responses_to_another_request_end_the_exchange(self):
         """Guards against skipping late duplicate responses forever."""
         stale = _HEAD + b"request-id: old\r\ncontent-length: 4000\r\n\r\n"
-        async with EndlessServer(b"", stale + b"x" * 4000) as server:
-            opened = await connection.connect("127.0.0.1", server.port, _WAIT_S)
+        server = EndlessServer(b"", stale + b"x" * 4000)
+        async with listening.listen(server.serve) as port:
+            opened = await connection.connect("127.0.0.1", port, _WAIT_S)
             opened.begin(
                 b"GET / HTTP/1.1\r\n\r\n",
                 is_head_request=False,
@@ -129,11 +115,8 @@
             writer.write(_CHUNKED_HEAD + b"1\r\nx\r\n" * body_bytes)
             writer.write(b"0\r\n\r\n")
             await writer.drain()
-            writer.close()
 
-        server = await asyncio.start_server(serve, "127.0.0.1", 0)
-        async with server:
-            port = server.sockets[0].getsockname()[1]
+        async with listening.listen(serve) as port:
             assert await fetch(port) == b"x" * body_bytes
 
 
--- a/tests/router/rig.py
+++ b/tests/router/rig.py
@@ -23,6 +23,7 @@
 from berylweir.router.table import task as table_task
 from berylweir.standin import deployment
 from berylweir.supervision import mailbox
+from tests import listening
 
 HOST = "127.0.0.1"
 WAIT_S = 10.0
@@ -170,15 +171,14 @@
 
     async def __aenter__(self) -> "Rig":
         """Starts everything."""
-        server = await asyncio.start_server(self._accept, HOST, 0)
-        self._stack.callback(server.close)
-        self._stack.callback(self._cut_all)
+        self.backend_port = await self._stack.enter_async_context(
+            listening.listen(self._accept)
+        )
         for vm in (self.home, self.entry):
             self._stack.callback(vm.peers.close)
             for runner in (vm.runner, vm.peer_runner):
                 await runner.start()
                 self._stack.push_async_callback(runner.kill)
-        self.backend_port = server.sockets[0].getsockname()[1]
         await self._start_home(self.backend_port)
         return self
 
@@ -261,17 +261,7 @@
     ) -> None:
         stream = Stream(len(self.streams), reader, writer)
         self.streams.append(stream)
-        with contextlib.suppress(asyncio.IncompleteReadError, ConnectionError):
-            await self._script(stream)
-        writer.close()
-
-    def _cut_all(self) -> None:
-        for stream in self.streams:
-            transport = stream.writer.transport
-            # A closed transport that has since flushed its buffer has no event
-            # loop any more, and its abort() raises.
-            if transport.get_extra_info("socket").fileno() >= 0:
-                transport.abort()
+        await self._script(stream)
 
 
 def request(
