Start the gateway without the parser of command lines

Change: the platform starts the program without arguments, whose defaults are the same, and defopt is only imported if there are some. load_or_exit moves from process.py to berylweir/conf, which uses it.

The new test fails before the change.

--- a/berylweir/conf/loading.py
+++ b/berylweir/conf/loading.py
@@ -2,11 +2,13 @@
 
 import configparser
 import pathlib
+import sys
 import typing
 
 import msgspec
 import result
 
+from berylweir import process
 from berylweir.conf import checks
 from berylweir.conf import exceptions
 from berylweir.conf import schemas
@@ -34,6 +36,21 @@
     return parse(text)
 
 
+def load_or_exit(path: pathlib.Path) -> schemas.Settings:
+    """Returns the settings in a file, or prints all of its faults.
+
+    Raises:
+        SystemExit: If the settings have faults, with status 2.
+    """
+    match load(path):
+        case result.Ok(settings):
+            return settings
+        case result.Err(faults):
+            for fault in faults:
+                print(fault, file=sys.stderr)
+            raise SystemExit(process.EXIT_INVALID_SETTINGS)
+
+
 def parse(text: str) -> result.Result[schemas.Settings, Faults]:
     """Returns the settings in the INI text, or all of its faults.
 
--- a/berylweir/gateway/program.py
+++ b/berylweir/gateway/program.py
@@ -9,7 +9,6 @@
     # can be ignored here because the settings are read after the imports.
     signal.signal(signal.SIGHUP, signal.SIG_IGN)
 
-import defopt
 import result
 
 from berylweir import process
@@ -59,6 +58,13 @@
 
 def main() -> None:
     """Runs the program."""
+    if len(sys.argv) == 1:
+        gateway()
+        return
+    # Importing it takes a quarter of the program's start, and the platform
+    # starts gateways without arguments.
+    import defopt
+
     defopt.run(gateway)
 
 
--- a/berylweir/process.py
+++ b/berylweir/process.py
@@ -1,40 +1,20 @@
-"""Common start of the programs: settings, signals and the root supervisor."""
+"""Common start of the programs: signals and the root supervisor."""
 
 import asyncio
 from collections.abc import Callable
 import logging
-import pathlib
 import signal
-import sys
 
-import result
 import uvloop
 
-from berylweir import conf
 from berylweir.observability import logs
 from berylweir.supervision import supervisor
 
 _LOGGER = logging.getLogger(__name__)
-EXIT_OK = 0
-EXIT_FAILED = 1
+# Exit status if the settings are invalid.
 EXIT_INVALID_SETTINGS = 2
 
 
-def load_settings(path: pathlib.Path) -> conf.Settings:
-    """Returns the settings in a file, or prints all of their faults.
-
-    Raises:
-        SystemExit: If the settings have faults, with code 2.
-    """
-    match conf.load(path):
-        case result.Ok(settings):
-            return settings
-        case result.Err(faults):
-            for fault in faults:
-                print(fault, file=sys.stderr)
-            raise SystemExit(EXIT_INVALID_SETTINGS)
-
-
 def run_tree(
     root: supervisor.Supervisor,
     log_level: str,
--- a/berylweir/router/program.py
+++ b/berylweir/router/program.py
@@ -4,6 +4,7 @@
 
 import defopt
 
+from berylweir import conf
 from berylweir import process
 from berylweir.observability import counters
 from berylweir.router import supervisor
@@ -17,7 +18,7 @@
         check: Only check the settings, and exit with status 2 if they are
             invalid.
     """
-    loaded_settings = process.load_settings(settings)
+    loaded_settings = conf.load_or_exit(settings)
     if check:
         print("settings are valid")
         return
--- a/tests/gateway/test_program.py
+++ b/tests/gateway/test_program.py
@@ -4,12 +4,34 @@
 import os
 import pathlib
 import signal
+import subprocess
 import sys
 
 from berylweir.platform import settings
 from tests.gateway import rig
 
 
+class TestStart:
+    """What the program does before it serves."""
+
+    def test_command_line_parser_is_not_imported(self):
+        """Guards against a slow start, which each restart of a VM pays for."""
+        imported_modules = subprocess.run(
+            [
+                sys.executable,
+                "-c",
+                "import sys, berylweir.gateway.program; print(*sys.modules)",
+            ],
+            check=True,
+            capture_output=True,
+            text=True,
+        ).stdout.split()
+        assert "berylweir.gateway.supervisor" in imported_modules
+        assert not {"defopt", "docutils", "berylweir.conf"} & {
+            *imported_modules
+        }
+
+
 class TestProgram:
     """Signals during the start of the program."""
 
