Decide on upstreams only when something has changed

Change: the coordinator sleeps until a replica or the gateways change, an upstream answers differently or may be asked again, or has been silent for too long. The ranking is kept until the gateways change. The wait for the primary upstream ends at its answer that it isn't current.

--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 BIN := $(BERYLWEIR_VENV)/bin
 STAMP := $(BERYLWEIR_VENV)/.installed
 
-.PHONY: run test lint format bench bench-hop slopes soak soak-programs history recovery rollout report
+.PHONY: run test lint format bench bench-hop bench-idle slopes soak soak-programs history recovery rollout report
 
 $(STAMP): pyproject.toml
 	test -x $(BIN)/python || python3 -m venv $(BERYLWEIR_VENV)
@@ -40,6 +40,9 @@
 bench-hop: $(STAMP)
 	$(BIN)/python -m bench.hop
 
+bench-idle: $(STAMP)
+	$(BIN)/python -m bench.idle
+
 soak: $(STAMP)
 	SEED=$(or $(SEED),1) BERYLWEIR_SOAK_EXAMPLES=$(or $(EXAMPLES),2000) \
 	  $(BIN)/python -m pytest tests/keeper/test_machine.py
--- a/berylweir/gateway/replication/coordinator.py
+++ b/berylweir/gateway/replication/coordinator.py
@@ -39,9 +39,6 @@
 # Longest time to wait for the registration of this gateway before the others
 # are read, in seconds: its own object tells which others are older.
 _REGISTRATION_WAIT_S = 0.5
-# Pause before another attempt to find an upstream, and longest time between two
-# checks of the replicas' modes, in seconds.
-_RETRY_PAUSE_S = 0.1
 
 
 class ReplicationCoordinator:
@@ -74,11 +71,12 @@
         self._registration_attempted = registration_attempted
         self._metrics = metrics
         self._upstreams = upstreams.UpstreamSelector(local_vm)
-        self._wake_up = asyncio.Event()
+        self._waiters: set[asyncio.Future[None]] = set()
         self._last_contact_s = float("-inf")
         self._active_upstreams: dict[int, models.Vm] = {}
         self._modes: dict[str, messages.ReplicaMode] = {}
         self._received_revisions: dict[str, int] = {}
+        self._failed_primary_polls = 0
         self._is_watching: bool | None = None
 
     @property
@@ -91,13 +89,15 @@
         match message:
             case gateway.VmsChanged(vms):
                 self._upstreams.update_vms(vms)
-                self._wake_up.set()
+                self.notify()
             case _:
                 pass
 
     def notify(self) -> None:
-        """Decides again, since the store was lost or regained."""
-        self._wake_up.set()
+        """Decides again, since a replica has changed."""
+        for waiter in self._waiters:
+            if not waiter.done():
+                waiter.set_result(None)
 
     async def run(self, context: supervision.ChildContext) -> None:
         """Polls the upstreams and sets the modes until the child is stopped."""
@@ -116,11 +116,37 @@
                 self._poll_upstreams(_STANDBY, self._poll_revisions)
             )
             while True:
-                self._wake_up.clear()
                 self._post_modes()
-                with contextlib.suppress(TimeoutError):
-                    async with asyncio.timeout(_RETRY_PAUSE_S):
-                        await self._wake_up.wait()
+                await self._wait_for_change()
+
+    async def _wait_for_change(self, until_s: float | None = None) -> None:
+        """Waits until a decision of this task may change.
+
+        That is when a replica or the registered gateways change, an upstream
+        answers differently, may be asked again, or has been silent for too
+        long.
+
+        Args:
+            until_s: Longest time to wait until, on the event loop's clock, in
+                seconds; None for no limit.
+        """
+        now_s = self._now_s()
+        deadlines_s = [until_s, self._upstreams.next_change_s(now_s)]
+        if not self._is_stale():
+            deadlines_s.append(self._last_contact_s + self._stale_limit_s())
+        waiter: asyncio.Future[None] = (
+            asyncio.get_running_loop().create_future()
+        )
+        self._waiters.add(waiter)
+        try:
+            async with asyncio.timeout_at(
+                min((t for t in deadlines_s if t is not None), default=None)
+            ):
+                await waiter
+        except TimeoutError:
+            pass  # The decision is due.
+        finally:
+            self._waiters.discard(waiter)
 
     def _post_modes(self) -> None:
         """Posts each replica its mode if it changed."""
@@ -166,10 +192,12 @@
         return self._replicas[objects.CONFIGURATION_KIND]
 
     def _is_stale(self) -> bool:
-        limit_s = (
+        return self._now_s() >= self._last_contact_s + self._stale_limit_s()
+
+    def _stale_limit_s(self) -> float:
+        return (
             _STALE_TIMEOUT_S if self._are_all_loaded() else _INITIAL_TIMEOUT_S
         )
-        return self._now_s() - self._last_contact_s > limit_s
 
     def _are_all_loaded(self) -> bool:
         return all(replica.is_loaded for replica in self._replicas.values())
@@ -193,7 +221,7 @@
                     in_use=self._active_upstreams.values(),
                 )
             if vm is None:
-                await asyncio.sleep(_RETRY_PAUSE_S)
+                await self._wait_for_change()
                 continue
             self._active_upstreams[slot] = vm
             try:
@@ -207,6 +235,11 @@
         reply = await self._client.ask(
             vm, request, max_hold_s=change_feed.MAX_HOLD_S
         )
+        match reply:
+            case result.Ok(peers.Changes(True)):
+                pass
+            case _:
+                self._failed_primary_polls += 1
         self._handle_reply(vm, reply)
 
     async def _poll_revisions(self, vm: models.Vm) -> None:
@@ -222,15 +255,33 @@
         self._handle_reply(vm, reply)
         match reply:
             case result.Ok(peers.ChangedRevisions(True, revisions)) if (
-                revisions
+                revisions and not await self._primary_sends(revisions)
             ):
-                await asyncio.sleep(_STANDBY_DELAY_S)
-                known = self._known_revisions()
-                if any(known[kind] < revisions[kind] for kind in revisions):
-                    await self._poll_changes(vm)
+                await self._poll_changes(vm)
             case _:
                 pass
 
+    async def _primary_sends(self, revisions: Mapping[str, int]) -> bool:
+        """Returns whether the primary upstream sends changes soon.
+
+        Doesn't wait any longer once it answers that it isn't current.
+
+        Args:
+            revisions: Revisions up to which the changes of each kind reach.
+        """
+        until_s = self._now_s() + _STANDBY_DELAY_S
+        failed_polls = self._failed_primary_polls
+        while True:
+            known = self._known_revisions()
+            if all(known[kind] >= revisions[kind] for kind in revisions):
+                return True
+            if (
+                self._now_s() >= until_s
+                or self._failed_primary_polls != failed_polls
+            ):
+                return False
+            await self._wait_for_change(until_s)
+
     def _known_revisions(self) -> dict[str, int]:
         """Returns the revision up to which each kind was received.
 
@@ -248,22 +299,28 @@
     ) -> None:
         match reply:
             case result.Ok(peers.Changes(True, kinds)):
-                self._upstreams.record_current(vm)
-                self._last_contact_s = self._now_s()
+                self._record_contact(vm)
                 for changes in kinds:
                     self._post_changes(vm, changes)
             case result.Ok(peers.ChangedRevisions(True)):
-                self._upstreams.record_current(vm)
-                self._last_contact_s = self._now_s()
+                self._record_contact(vm)
             case result.Ok(_):
                 self._upstreams.record_not_current(vm, self._now_s())
+                self.notify()
             case result.Err(failure):
                 self._upstreams.record_failure(vm, self._now_s())
                 _LOGGER.warning(
                     "source silent",
                     extra={"source": vm.name, "failure": failure},
                 )
-        self._wake_up.set()
+                self.notify()
+
+    def _record_contact(self, vm: models.Vm) -> None:
+        """Records an answer of a gateway that knows the store's state."""
+        was_stale = self._is_stale()
+        self._last_contact_s = self._now_s()
+        if self._upstreams.record_current(vm) or was_stale:
+            self.notify()
 
     def _post_changes(self, vm: models.Vm, changes: peers.KindChanges) -> None:
         replica = self._replicas.get(changes.kind)
--- a/berylweir/gateway/replication/upstreams.py
+++ b/berylweir/gateway/replication/upstreams.py
@@ -27,6 +27,8 @@
 # doubles with each consecutive failure up to the maximum.
 _FAILURE_BACKOFF_S = 2.0
 _FAILURE_BACKOFF_MAX_S = 30.0
+# Largest number of rankings that are kept. Few gateways fail at a time.
+_MAX_CACHED_RANKINGS = 32
 
 
 @dataclasses.dataclass(slots=True)
@@ -58,6 +60,12 @@
         self._local_vm = local_vm
         self._ranked_vms: list[models.Vm] = []
         self._backoffs: dict[models.Vm, _Backoff] = {}
+        # Watchers by the gateways that are left out. Ranking all gateways for
+        # each request would take more time than the request.
+        self._watchers_by_excluded: dict[
+            frozenset[models.Vm], list[models.Vm]
+        ] = {}
+        self._local_vms: frozenset[models.Vm] = frozenset()
 
     @property
     def has_gateways(self) -> bool:
@@ -71,17 +79,15 @@
             vms: Registered gateways by the name of their VM.
         """
         self._ranked_vms = sorted(vms.values(), key=_rank)
+        self._watchers_by_excluded.clear()
+        self._local_vms = frozenset(filter(self._is_local, self._ranked_vms))
         for vm in self._backoffs.keys() - set(self._ranked_vms):
             del self._backoffs[vm]
 
     def is_watcher(self, now_s: float) -> bool:
         """Returns whether this gateway has to watch the store."""
-        candidates = [
-            v
-            for v in self._ranked_vms
-            if not self._has_failed_recently(v, now_s)
-        ]
-        return any(self._is_local(vm) for vm in _watchers(candidates))
+        watchers = self._watchers_without(self._recently_failed_vms(now_s))
+        return not self._local_vms.isdisjoint(watchers)
 
     def choose(
         self, now_s: float, *, slot: int, in_use: Collection[models.Vm]
@@ -94,10 +100,8 @@
                 differently.
             in_use: Gateways that are followed already.
         """
-        watchers = _watchers(
-            v
-            for v in self._ranked_vms
-            if not self._is_local(v) and not self._has_failed_recently(v, now_s)
+        watchers = self._watchers_without(
+            self._recently_failed_vms(now_s) | self._local_vms
         )
         candidates = [
             v
@@ -116,9 +120,28 @@
             ),
         )
 
-    def record_current(self, vm: models.Vm) -> None:
-        """Records that a gateway watches the store and reaches it."""
-        self._backoffs.pop(vm, None)
+    def next_change_s(self, now_s: float) -> float | None:
+        """Returns when a gateway may be asked again; None if all may be.
+
+        Args:
+            now_s: Current time.
+        """
+        return min(
+            (
+                backoff.until_s
+                for backoff in self._backoffs.values()
+                if backoff.until_s > now_s
+            ),
+            default=None,
+        )
+
+    def record_current(self, vm: models.Vm) -> bool:
+        """Records that a gateway watches the store and reaches it.
+
+        Returns:
+            Whether it hadn't been current before.
+        """
+        return self._backoffs.pop(vm, None) is not None
 
     def record_not_current(self, vm: models.Vm, now_s: float) -> None:
         """Records that a gateway answers but doesn't know the changes."""
@@ -143,14 +166,26 @@
         backoff = self._backoffs.get(vm)
         return backoff is not None and backoff.until_s > now_s
 
-    def _has_failed_recently(self, vm: models.Vm, now_s: float) -> bool:
-        backoff = self._backoffs.get(vm)
-        return (
-            backoff is not None
-            and backoff.failures > 0
-            and backoff.until_s > now_s
+    def _recently_failed_vms(self, now_s: float) -> frozenset[models.Vm]:
+        return frozenset(
+            vm
+            for vm, backoff in self._backoffs.items()
+            if backoff.failures > 0 and backoff.until_s > now_s
         )
 
+    def _watchers_without(
+        self, excluded: frozenset[models.Vm]
+    ) -> list[models.Vm]:
+        watchers = self._watchers_by_excluded.get(excluded)
+        if watchers is None:
+            if len(self._watchers_by_excluded) >= _MAX_CACHED_RANKINGS:
+                self._watchers_by_excluded.clear()
+            watchers = _watchers(
+                vm for vm in self._ranked_vms if vm not in excluded
+            )
+            self._watchers_by_excluded[excluded] = watchers
+        return watchers
+
 
 def _rank(vm: models.Vm) -> tuple[float, float, int]:
     """Returns a sort key by which large VMs, then older gateways come first.
--- a/berylweir/soak/gateways.py
+++ b/berylweir/soak/gateways.py
@@ -65,6 +65,11 @@
             self._newest_answering_instance, instance
         )
 
+    @property
+    def pid(self) -> int:
+        """Process id of the program; 0 if it doesn't run."""
+        return self._process.pid if self._process is not None else 0
+
     @property
     def port(self) -> int:
         """TCP port for callers."""
