Move keys only if that saves more waiting than it costs

Cause: any gap of 0.08 in utilisation between the busiest and the least busy server made keys move, and chance alone makes a gap of 0.15 between the extremes of 13 servers at the measured rates.

Change: move_value.py estimates the waiting requests of both servers before and after a move, corrected by the standard errors of the measured rates and service times; a move must save more than it costs.

--- a/berylweir/gateway/ownership/balance.py
+++ b/berylweir/gateway/ownership/balance.py
@@ -11,16 +11,12 @@
 
 from berylweir.gateway import models
 from berylweir.gateway.ownership import models as ownership
+from berylweir.gateway.ownership import move_value
 
 # A plan may rebalance with up to this many moves, or this many per server if
 # that is more.
 _MIN_MOVES = 4
 _MOVES_PER_SERVER = 0.125
-# Minimum gap in utilisation between two servers that justifies a move: absolute
-# and as a fraction of the busier server's utilisation. The higher one applies,
-# unless the less busy server owns no keys.
-_MIN_GAP = 0.08
-_MIN_RELATIVE_GAP = 0.25
 # Utilisation up to which one move loads its target: absolute, and as a multiple
 # of the mean. The higher one applies. With this limit, keys that were moved
 # together needn't be split again at once.
@@ -31,9 +27,14 @@
 _MIN_GAP_REDUCTION = 0.2
 # Service time assumed while none was measured, in ms.
 _DEFAULT_SERVICE_MS = 100.0
+# Relative standard error of a measured service time.
+_SERVICE_TIME_ERROR = 0.04
 # Maximum ranges per server on average, as each range takes one more request in
 # every renewal.
 _MAX_RANGES_PER_SERVER = 6
+# Busiest servers from which a move is tried in one step of a plan. The keys of
+# the first ones may not be movable, such as a single busy key.
+_MAX_SOURCES = 4
 # Maximum number of parts of a move, and the average number of requests in
 # flight on the keys of each part that the split aims at.
 _MAX_PARTS = 6
@@ -54,6 +55,7 @@
         cumulative_rates: Sum of the rates of the first n of these keys, at
             index n, in requests per second.
         base_rate: Requests per second to add to the rate of every key.
+        rate_variance: Variance of a measured rate, per request per second.
         mean_service_ms: Service time of servers without measurements, in ms.
     """
 
@@ -63,6 +65,7 @@
     keys: list[int]
     cumulative_rates: list[float]
     base_rate: float
+    rate_variance: float
     mean_service_ms: float
 
     def rate(self, first: int, last: int) -> float:
@@ -85,6 +88,21 @@
         )
         return failure_factor * service_ms / 1000.0 / max(1, candidate.slots)
 
+    def load(self, instance: models.ServerInstance) -> move_value.ServerLoad:
+        """Returns the estimated load of a candidate."""
+        utilisation_per_rps = self.utilisation_per_rps(instance)
+        utilisation = self.utilisations[instance]
+        variance = self.rate_variance * utilisation * utilisation_per_rps
+        return move_value.ServerLoad(
+            utilisation,
+            math.hypot(
+                math.sqrt(max(0.0, variance)),
+                _SERVICE_TIME_ERROR * utilisation,
+            ),
+            utilisation_per_rps,
+            self.candidates[instance].slots,
+        )
+
 
 def plan_moves(
     table: models.KeyTable,
@@ -110,7 +128,7 @@
     moves = _reassign_orphaned_ranges(plan)
     max_moves = max(_MIN_MOVES, int(_MOVES_PER_SERVER * len(candidates)))
     while rebalance and len(moves) < max_moves:
-        move = _choose_move(plan, len(candidates))
+        move = _choose_move(plan)
         if move is None:
             break
         moves.append(move)
@@ -136,6 +154,7 @@
         keys,
         cumulative_rates,
         demand.base_rate,
+        demand.rate_variance,
         sum(known_service_ms) / len(known_service_ms)
         if known_service_ms
         else _DEFAULT_SERVICE_MS,
@@ -232,7 +251,7 @@
     return low
 
 
-def _choose_move(plan: _Plan, server_count: int) -> ownership.Move | None:
+def _choose_move(plan: _Plan) -> ownership.Move | None:
     """Plans a move from the busiest server for which one is worthwhile.
 
     Returns:
@@ -242,20 +261,29 @@
         plan.utilisations, key=lambda instance: plan.utilisations[instance]
     )
     owns_no_keys = all(r.owner != least_loaded for r in plan.ranges)
+    has_too_many_ranges = len(plan.ranges) > _MAX_RANGES_PER_SERVER * len(
+        plan.candidates
+    )
     for source in sorted(
         plan.utilisations, key=lambda instance: -plan.utilisations[instance]
-    ):
-        gap = plan.utilisations[source] - plan.utilisations[least_loaded]
-        min_gap = max(_MIN_GAP, _MIN_RELATIVE_GAP * plan.utilisations[source])
-        if source == least_loaded or (gap < min_gap and not owns_no_keys):
+    )[:_MAX_SOURCES]:
+        if source == least_loaded or not (
+            owns_no_keys
+            or move_value.can_pay(plan.load(source), plan.load(least_loaded))
+        ):
             return None
-        has_too_many_ranges = (
-            len(plan.ranges) > _MAX_RANGES_PER_SERVER * server_count
-        )
         move = _best_move(
             plan, source, least_loaded, has_too_many_ranges=has_too_many_ranges
         )
-        if move is not None:
+        if move is not None and (
+            (owns_no_keys and move.target == least_loaded)
+            or move_value.pays(
+                plan.load(source),
+                plan.load(move.target),
+                plan.rate(move.first, move.last),
+                plan.mean_service_ms,
+            )
+        ):
             _apply_move(plan, move, source)
             return move
     return None
--- a/berylweir/gateway/ownership/demand.py
+++ b/berylweir/gateway/ownership/demand.py
@@ -56,7 +56,11 @@
         self._last_decay_s = now_s
         total_rate = max(_MIN_TOTAL_RATE, sum(self._rates.values()))
         return ownership.Demand(
-            dict(self._rates), _BASE_RATE_SHARE * total_rate / models.KEY_COUNT
+            dict(self._rates),
+            _BASE_RATE_SHARE * total_rate / models.KEY_COUNT,
+            # Each request of a Poisson process adds a value that decays
+            # exponentially.
+            _LN2 / (2.0 * _HALF_LIFE_S),
         )
 
 
--- a/berylweir/gateway/ownership/models.py
+++ b/berylweir/gateway/ownership/models.py
@@ -45,7 +45,10 @@
     Attributes:
         rates: Requests per second of each key that was requested recently.
         base_rate: Requests per second to add to the rate of every key.
+        rate_variance: Variance of the estimate of a rate, divided by the rate;
+            0 if the rates are exact.
     """
 
     rates: Mapping[int, float]
     base_rate: float
+    rate_variance: float = 0.0
