Apply changes of a key table without visiting every range

Cause: at 195 VMs each gateway applies about 7 changes of key tables a second (148 in 21 s in the profile of a small VM); each one looked up every range of the table, sorted all of them and encoded the whole table again, 13% of the VM's Python time.

Change: the ranges between the changed ones are taken over as slices, and only the seams are checked. A table that came as changes is encoded when another gateway asks for it.

--- a/berylweir/gateway/ownership/tables.py
+++ b/berylweir/gateway/ownership/tables.py
@@ -161,18 +161,37 @@
         The newer table; None if the ranges would overlap or leave a gap, which
         shows that the diff was made from another table than `base`.
     """
-    ranges = list(table_diff.ranges)
-    firsts = [r.first for r in ranges]
-    for key_range in base.ranges:
-        index = bisect.bisect_right(firsts, key_range.last) - 1
-        if index < 0 or table_diff.ranges[index].last < key_range.first:
-            ranges.append(key_range)
-    ranges.sort(key=lambda r: r.first)
+    ranges: list[models.KeyRange] = []
+    # Index of the first range of `base` that is still to be added.
+    base_index = 0
     next_key = 0
-    for key_range in ranges:
-        if key_range.first != next_key:
+    for key_range in table_diff.ranges:
+        if key_range.first > next_key:
+            end_index = _first_range_from(base, key_range.first)
+            kept = base.ranges[base_index:end_index]
+            if not _covers(kept, next_key, key_range.first - 1):
+                return None
+            ranges += kept
+        elif key_range.first < next_key:
             return None
+        ranges.append(key_range)
         next_key = key_range.last + 1
-    if next_key != models.KEY_COUNT:
+        base_index = _first_range_from(base, next_key)
+    if next_key < models.KEY_COUNT:
+        kept = base.ranges[base_index:]
+        if not _covers(kept, next_key, models.KEY_COUNT - 1):
+            return None
+        ranges += kept
+    elif next_key > models.KEY_COUNT:
         return None
     return dataclasses.replace(table_diff, ranges=tuple(ranges))
+
+
+def _first_range_from(table: models.KeyTable, key: int) -> int:
+    """Returns the index of the first range that begins at a key or later."""
+    return bisect.bisect_left(table.ranges, key, key=lambda r: r.first)
+
+
+def _covers(ranges: tuple[models.KeyRange, ...], first: int, last: int) -> bool:
+    """Returns whether consecutive ranges of a table cover just these keys."""
+    return bool(ranges) and ranges[0].first == first and ranges[-1].last == last
--- a/berylweir/gateway/store_cache.py
+++ b/berylweir/gateway/store_cache.py
@@ -42,6 +42,8 @@
         self._configuration_revision = 0
         self._servers: dict[str, models.BackendServer] = {}
         self._undecodable_revisions: dict[str, int] = {}
+        # Encoded key tables; those that other gateways sent as changes are
+        # only encoded on request.
         self._key_table_objects: dict[str, store.StoredObject] = {}
         self._key_tables: dict[str, models.KeyTable] = {}
         self._vms: dict[str, models.Vm] = {}
@@ -144,12 +146,13 @@
             stored_objects: Whole key tables.
         """
         for stored in stored_objects:
-            cached = self._key_table_objects.get(stored.name)
+            cached = self._key_tables.get(stored.name)
             if cached is not None and cached.revision >= stored.revision:
                 continue
             match objects.decode_table(stored):
                 case result.Ok(table):
-                    self._set_key_table(stored, table)
+                    self._key_table_objects[stored.name] = stored
+                    self._set_key_table(stored.name, table)
                 case result.Err(failure):
                     self._report_undecodable(
                         objects.KEY_TABLES_KIND, stored, failure
@@ -184,31 +187,33 @@
                             },
                         )
                         continue
-                    spec = msgspec.Raw(objects.encode_table(table))
-                    whole = store.build_stored_object(
-                        stored.name, stored.revision, spec, stored.status
-                    )
-                    self._set_key_table(whole, table)
+                    self._set_key_table(stored.name, table)
                 case result.Err(failure):
                     self._report_undecodable(
                         objects.KEY_TABLES_KIND, stored, failure
                     )
 
-    def _set_key_table(
-        self, stored: store.StoredObject, table: models.KeyTable
-    ) -> None:
-        self._key_table_objects[stored.name] = stored
-        self._key_tables[stored.name] = table
+    def _set_key_table(self, name: str, table: models.KeyTable) -> None:
+        self._key_tables[name] = table
         self._notify(messages.KeyTableChanged(table))
 
     @property
     def key_table_revisions(self) -> dict[str, int]:
         """Revisions of the known key tables by object name."""
-        return {name: t.revision for name, t in self._key_table_objects.items()}
+        return {name: t.revision for name, t in self._key_tables.items()}
 
     @property
     def key_table_objects(self) -> Mapping[str, store.StoredObject]:
         """Newest known key tables by object name."""
+        for name, table in self._key_tables.items():
+            encoded = self._key_table_objects.get(name)
+            if encoded is None or encoded.revision != table.revision:
+                self._key_table_objects[name] = store.build_stored_object(
+                    name,
+                    table.revision,
+                    msgspec.Raw(objects.encode_table(table)),
+                    msgspec.Raw(b"null"),
+                )
         return self._key_table_objects
 
     def _notify(self, message: messages.StoreUpdate) -> None:
