Check how a deadline shrinks within one request

The check was wrong, not the router.

Change: each request now waits in the home's queue for at least 50 ms, and the server must get at most what is left, less a millisecond for each hop, because each rounds down. A hop that forwards the whole deadline fails it, as before.

--- a/tests/router/test_outcomes.py
+++ b/tests/router/test_outcomes.py
@@ -129,29 +129,51 @@
 class TestDeadline:
     """The deadline set by a caller."""
 
-    async def test_shrinks_at_each_hop(self):
+    @pytest.mark.parametrize("hops", [1, 2])
+    async def test_shrinks_at_each_hop(self, hops: int):
         """Guards against a home that works longer than the caller waits.
 
-        Each hop forwards only the time that is left.
+        Each hop forwards only the time that is left, in whole milliseconds.
         """
+        queued_ms = 50
+        gate = asyncio.Event()
+        held = asyncio.Event()
         deadlines_ms: list[int] = []
 
         async def script(stream: rig.Stream) -> None:
             while True:
                 request = await stream.next_request()
-                deadlines_ms.append(
-                    int(request.fields["berylweir-deadline-ms"])
-                )
+                if request.start_line.split()[1] == "/k/hold":
+                    held.set()
+                    await gate.wait()
+                else:
+                    deadlines_ms.append(
+                        int(request.fields["berylweir-deadline-ms"])
+                    )
                 stream.respond()
 
         async with rig.Rig(script, slots=1) as harness:
-            for hops in (1, 2):
-                response = await rig.fetch(
-                    harness.vm(hops).port,
-                    rig.request(berylweir_deadline_ms="3000"),
+            holding = asyncio.create_task(
+                rig.fetch(harness.home.port, rig.request(path="/k/hold"))
+            )
+            await held.wait()
+            entry = harness.vm(hops)
+            received = entry.count("router.requests")
+            fetching = asyncio.create_task(
+                rig.fetch(entry.port, rig.request(berylweir_deadline_ms="3000"))
+            )
+            await rig.wait_until(
+                lambda: (
+                    entry.count("router.requests") > received
+                    and harness.home.count("router.peer.requests") >= hops - 1
                 )
-                assert response.status == 200
-        assert 0 < deadlines_ms[1] < deadlines_ms[0] < 3000
+            )
+            await asyncio.sleep(queued_ms / 1000.0)
+            gate.set()
+            assert (await fetching).status == 200
+            await holding
+        # Each hop rounds what is left down, after some time has passed.
+        assert 0 < deadlines_ms[0] <= 3000 - queued_ms - hops
 
     @pytest.mark.parametrize("hops", [1, 2])
     async def test_cancels_the_work(self, hops: int):
