Choose the ports of all test listeners outside of the ephemeral range

Cause: the rig of the gateway and the soak took ports that the system assigns to outgoing connections as well, so that a connection could take one before the listener started.

Change: free_ports moves to berylweir/standin/ports.py, and all use it.

--- a/bench/hop.py
+++ b/bench/hop.py
@@ -32,7 +32,7 @@
 from berylweir.peers import messages as peers
 from berylweir.peers import sockets
 from berylweir.router import supervisor as router
-from berylweir.standin import deployment
+from berylweir.standin import ports
 from berylweir.supervision import supervisor
 
 _HOST = "127.0.0.1"
@@ -340,7 +340,7 @@
         self._seconds = seconds
         self._context = multiprocessing.get_context("spawn")
         self._processes: dict[str, Any] = {}
-        self.ports = Ports(*deployment.free_ports(9))
+        self.ports = Ports(*ports.free_ports(9))
 
     def start(self) -> None:
         """Starts all processes and warms up both routers."""
--- a/berylweir/soak/gateways.py
+++ b/berylweir/soak/gateways.py
@@ -5,10 +5,10 @@
 import os
 import pathlib
 import signal
-import socket
 import sys
 
 from berylweir.platform import settings
+from berylweir.standin import ports
 
 _LOOPBACK = "127.0.0.1"
 
@@ -27,7 +27,9 @@
             directory: Directory for the settings file and the log file.
         """
         self._vm = vm
-        self._port, ready_port, peer_port, self._metrics_port = _free_ports(4)
+        self._port, ready_port, peer_port, self._metrics_port = (
+            ports.free_ports(4)
+        )
         self._settings_path = directory / f"vm-{vm}.toml"
         self._log_path = directory / f"vm-{vm}.log"
         self._settings_path.write_text(
@@ -146,14 +148,3 @@
         if self._process is not None and self._process.returncode is None:
             self._process.kill()
             await self._process.wait()
-
-
-def _free_ports(count: int) -> list[int]:
-    """Returns different TCP ports on loopback that are free at the moment."""
-    with contextlib.ExitStack() as stack:
-        ports = []
-        for _ in range(count):
-            bound_socket = stack.enter_context(socket.socket())
-            bound_socket.bind((_LOOPBACK, 0))
-            ports.append(bound_socket.getsockname()[1])
-        return ports
--- a/tests/gateway/rig.py
+++ b/tests/gateway/rig.py
@@ -4,7 +4,6 @@
 from collections.abc import Awaitable
 from collections.abc import Callable
 import contextlib
-import socket
 
 import msgspec
 
@@ -16,6 +15,7 @@
 from berylweir.observability import counters
 from berylweir.platform import settings
 from berylweir.platform import store
+from berylweir.standin import ports
 from berylweir.standin.gateway_platform import http
 from berylweir.standin.gateway_platform import server as server_standin
 from berylweir.standin.gateway_platform import store as store_standin
@@ -29,10 +29,7 @@
 
 def free_port() -> int:
     """Returns a port that nothing listens on."""
-    with socket.socket() as listener:
-        listener.bind(("127.0.0.1", 0))
-        port: int = listener.getsockname()[1]
-        return port
+    return ports.free_ports(1)[0]
 
 
 async def until(
--- a/tests/peers/test_authentication.py
+++ b/tests/peers/test_authentication.py
@@ -13,6 +13,7 @@
 from berylweir.peers import authentication
 from berylweir.peers import messages
 from berylweir.standin import deployment
+from berylweir.standin import ports as ports_module
 
 _OLD_KEY = "old:" + "11" * 16
 _NEW_KEY = "new:" + "22" * 16
@@ -143,7 +144,7 @@
             keepers = []
             metrics_of_keepers = []
             for index, key in enumerate((_OLD_KEY, _OLD_KEY, _NEW_KEY)):
-                ports = deployment.free_ports(3)
+                ports = ports_module.free_ports(3)
                 metrics = counters.Counters()
                 settings = msgspec.structs.replace(
                     settings_of_first,
--- a/tests/router/admission/test_wiring.py
+++ b/tests/router/admission/test_wiring.py
@@ -20,7 +20,7 @@
 from berylweir.router import messages
 from berylweir.router.admission import models
 from berylweir.router.table import task as table
-from berylweir.standin import deployment
+from berylweir.standin import ports
 from berylweir.supervision import models as supervision
 from tests import listening
 
@@ -90,7 +90,7 @@
         ),
     )
     async with context.stack:
-        link_port = deployment.free_ports(1)[0]
+        link_port = ports.free_ports(1)[0]
         keeper = pynng.Pair0(listen=f"tcp://127.0.0.1:{link_port}")
         context.stack.callback(keeper.close)
         started = Router(keeper)
--- a/tests/standin/test_ports.py
+++ b/tests/standin/test_ports.py
@@ -2,7 +2,7 @@
 
 import pathlib
 
-from berylweir.standin import deployment
+from berylweir.standin import ports as ports_module
 
 _LOCAL_PORT_RANGE_FILE = pathlib.Path("/proc/sys/net/ipv4/ip_local_port_range")
 
@@ -13,11 +13,11 @@
     def test_outgoing_connections_dont_take_them(self):
         """Guards against a port that an outgoing connection already uses."""
         lowest_local_port = int(_LOCAL_PORT_RANGE_FILE.read_text().split()[0])
-        ports = deployment.free_ports(100)
+        ports = ports_module.free_ports(100)
         assert len(set(ports)) == 100
         assert max(ports) < lowest_local_port
 
     def test_ports_arent_given_twice(self):
         """Guards against two deployments that listen on the same port."""
-        first = deployment.free_ports(20)
-        assert not set(first) & set(deployment.free_ports(20))
+        first = ports_module.free_ports(20)
+        assert not set(first) & set(ports_module.free_ports(20))
--- a/tests/test_programs.py
+++ b/tests/test_programs.py
@@ -12,7 +12,7 @@
 
 from berylweir.objects import client as platform_client
 from berylweir.objects import schemas
-from berylweir.standin import deployment
+from berylweir.standin import ports as ports_module
 
 _HOST = "127.0.0.1"
 _READY_TIMEOUT_S = 20.0
@@ -82,7 +82,7 @@
         self, processes: ProcessManager, tmp_path: pathlib.Path
     ):
         """Guards against a request path that works only in one process."""
-        platform_port, *ports = deployment.free_ports(13)
+        platform_port, *ports = ports_module.free_ports(13)
         backend_ports, vm_ports = ports[:2], ports[2:]
         platform_url = f"http://{_HOST}:{platform_port}"
         processes.start("standin", "platform", "--port", str(platform_port))
--- a/tests/test_tls.py
+++ b/tests/test_tls.py
@@ -14,6 +14,7 @@
 from berylweir.observability import counters
 from berylweir.router import supervisor as router_supervisor
 from berylweir.standin import deployment
+from berylweir.standin import ports as ports_module
 
 # Made with `openssl req -x509 -newkey ec -pkeyopt
 # ec_paramgen_curve:prime256v1 -nodes -days 36500`, for these tests only.
@@ -79,7 +80,7 @@
                     section.port,
                 )
             else:
-                port, peer_port = deployment.free_ports(2)
+                port, peer_port = ports_module.free_ports(2)
                 settings = msgspec.structs.replace(
                     settings,
                     router=msgspec.structs.replace(
