Keep grants within the platform's limit, and name their failures in the log

Cause: the duration of a grant was a constant of 2.5 s that was never compared with the longest one that the platform's settings allow, so that servers of a deployment with a lower limit would reject every grant. "grant failed" logged the outcome as an empty object, since most outcomes have no fields.

Change: the granter gets the limit. The log line has the name of the outcome. What nothing reads is removed: Bounds.cold_factor, Connection.exchanges and the dispatcher's copy of the configuration.

Measured: two new tests in tests/gateway/ownership/test_granting.py, which can't pass before: the first needs the new argument, the second finds the outcome's object instead of its name.

--- a/berylweir/gateway/dispatch/task.py
+++ b/berylweir/gateway/dispatch/task.py
@@ -73,7 +73,6 @@
         self._inbox = inbox
         self._metrics = metrics
         self._rng = random.Random(environment.vm)
-        self._configuration: models.Configuration | None = None
         self._groups: dict[str, _GroupState] = {}
         self._servers: dict[models.ServerInstance, dispatch.ServerState] = {}
         self._servers_by_group: dict[str, list[dispatch.ServerState]] = {}
@@ -139,7 +138,6 @@
     # Configuration and servers
 
     def _apply_configuration(self, configuration: models.Configuration) -> None:
-        self._configuration = configuration
         bounds = self._bounds
         for name, settings in configuration.groups.items():
             group = self._groups.get(name)
--- a/berylweir/gateway/models.py
+++ b/berylweir/gateway/models.py
@@ -287,9 +287,8 @@
         retry_ratio: Retries allowed per request, over all VMs.
         retry_slack: Retries allowed per window in addition to the ratio.
         retry_window_s: Length of that window, in seconds.
-        cold_factor: Factor by which the request rate of a server that warms
-            up may exceed the rate that it tolerates.
-        cold_slack: Requests per second allowed in addition to that.
+        cold_slack: Requests per second that a server that warms up gets at
+            most beyond the rate that it tolerates.
         grace_s: Time between SIGTERM and SIGKILL, in seconds.
         max_hold_ms: Longest duration of a grant of keys, in ms.
     """
@@ -297,7 +296,6 @@
     retry_ratio: float = 0.2
     retry_slack: float = 60.0
     retry_window_s: float = 10.0
-    cold_factor: float = 1.5
     cold_slack: float = 5.0
     grace_s: float = 6.0
     max_hold_ms: float = 10_000.0
--- a/berylweir/gateway/ownership/granting.py
+++ b/berylweir/gateway/ownership/granting.py
@@ -28,8 +28,6 @@
 # other gateways know of the move before the owner stops serving the keys.
 _PUBLISH_DELAY_S = 0.02
 
-_GRANT_DURATION_MS = int(grant_expiry.GRANT_DURATION_S * 1000)
-
 GetTable = Callable[[str], models.KeyTable | None]
 
 
@@ -61,6 +59,8 @@
         on_superseded: Callable[[], None],
         on_server_lost: Callable[[], None],
         metrics: counters.Counters,
+        *,
+        max_grant_ms: float = grant_expiry.GRANT_DURATION_S * 1000.0,
     ) -> None:
         """Creates the granter; `start_epoch` activates it.
 
@@ -74,8 +74,13 @@
             on_server_lost: Called when the grants of a server that stopped
                 responding have expired.
             metrics: Counters.
+            max_grant_ms: Longest duration of a grant that servers accept, in
+                ms.
         """
         self._get_table = get_table
+        self._grant_duration_ms = int(
+            min(grant_expiry.GRANT_DURATION_S * 1000.0, max_grant_ms)
+        )
         self._may_act = may_act
         self._on_move_completed = on_move_completed
         self._on_superseded = on_superseded
@@ -296,7 +301,7 @@
                     key_range.first,
                     key_range.last,
                     key_range.token,
-                    _GRANT_DURATION_MS,
+                    self._grant_duration_ms,
                 )
             )
             if not self._handle_outcome(outcome, instance, key_range):
@@ -338,7 +343,7 @@
                 "first": key_range.first,
                 "last": key_range.last,
                 "token": key_range.token,
-                "delivery": outcome,
+                "delivery": type(outcome).__name__,
                 "held_for_s": round(
                     self._expiries.expires_s(instance) - clock.boot_s(), 2
                 ),
@@ -403,7 +408,7 @@
                     key_range.first,
                     key_range.last,
                     key_range.token,
-                    _GRANT_DURATION_MS,
+                    self._grant_duration_ms,
                     handover,
                 )
             )
--- a/berylweir/gateway/ownership/task.py
+++ b/berylweir/gateway/ownership/task.py
@@ -72,6 +72,7 @@
         refresh_tables: Callable[[], None],
         is_store_up: Callable[[], bool],
         metrics: counters.Counters,
+        bounds: models.Bounds,
     ) -> None:
         """Creates the keeper; `run` starts its tasks.
 
@@ -90,6 +91,7 @@
             is_store_up: Returns whether the store answers this VM or a gateway
                 that it follows.
             metrics: Counters.
+            bounds: Limits that the platform sets.
         """
         self._update_local_tables = update_local_tables
         self._get_table_revisions = get_table_revisions
@@ -131,6 +133,7 @@
             self._on_superseded,
             self._state_changed.set,
             metrics,
+            max_grant_ms=bounds.max_hold_ms,
         )
 
     async def run(self, context: supervision.ChildContext) -> None:
--- a/berylweir/gateway/supervisor.py
+++ b/berylweir/gateway/supervisor.py
@@ -118,6 +118,7 @@
         reader.refresh,
         lambda: replication_coordinator.is_current,
         metrics,
+        environment.bounds,
     )
 
     async def answer_peer(
--- a/berylweir/platform/settings.py
+++ b/berylweir/platform/settings.py
@@ -153,7 +153,6 @@
         retry_ratio=number("retryRatio", defaults.retry_ratio),
         retry_slack=number("retrySlack", defaults.retry_slack),
         retry_window_s=number("retryWindowS", defaults.retry_window_s),
-        cold_factor=number("warmupFactor", defaults.cold_factor),
         cold_slack=number("warmupSlack", defaults.cold_slack),
         grace_s=number("graceS", defaults.grace_s),
         max_hold_ms=number("holdMaxMs", defaults.max_hold_ms),
--- a/berylweir/router/backends/connection.py
+++ b/berylweir/router/backends/connection.py
@@ -79,7 +79,6 @@
         self._last_received_s = float("-inf")
         self._loop = asyncio.get_running_loop()
         self._poll = select.poll()
-        self._exchanges = 0
         self._is_closed = False
         self._is_expired = False
         self._writable = asyncio.Event()
@@ -115,11 +114,6 @@
             buffered += self._transport.get_write_buffer_size()
         return buffered
 
-    @property
-    def exchanges(self) -> int:
-        """Number of exchanges that were started."""
-        return self._exchanges
-
     @property
     def is_closed(self) -> bool:
         """Whether the connection has ended."""
@@ -339,7 +333,6 @@
             raise exceptions.ConnectionCut
         self._reset(is_head_request=is_head_request)
         self._matches_request = matches_request
-        self._exchanges += 1
         self._exchange_started_s = self._loop.time()
         self._transport.write(head)
 
--- a/tests/gateway/ownership/test_granting.py
+++ b/tests/gateway/ownership/test_granting.py
@@ -96,3 +96,51 @@
         assert (
             waited_s >= _EARLIER_KEEPER_ACTS_S + grant_expiry.GRANT_DURATION_S
         )
+
+
+class RecordingServer(FakeServer):
+    """A server that rejects all grants and keeps them."""
+
+    def __init__(self) -> None:
+        super().__init__(range(0))
+        self.commands: list[grants.Command] = []
+
+    async def send(self, command: grants.Command) -> grant_client.SendOutcome:
+        """Keeps a command and rejects it."""
+        self.commands.append(command)
+        return grants.Rejected()
+
+
+class TestRenewals:
+    """Grants of the ranges that a server owns."""
+
+    async def run_once(self, **options) -> RecordingServer:
+        """Sends a first grant to a server that rejects it."""
+        server = RecordingServer()
+        table = tables.create("g", [_INSTANCES[0]], 1)
+        granter = granting.Granter(
+            {"g": table}.get,
+            lambda: True,
+            lambda: None,
+            lambda: None,
+            lambda: None,
+            counters.Counters(),
+            **options,
+        )
+        granter._clients[_INSTANCES[0]] = server
+        granter.start_epoch(clock.boot_s())
+        granter.apply_table(table)
+        await asyncio.sleep(0.05)
+        granter.close()
+        return server
+
+    async def test_duration_stays_within_the_platform_s_limit(self):
+        """Guards against grants that all servers of a platform reject."""
+        server = await self.run_once(max_grant_ms=1500.0)
+        assert server.commands[0].duration_ms == 1500
+
+    async def test_failed_grant_is_logged_with_its_outcome(self, caplog):
+        """Guards against log lines that don't tell failures apart."""
+        await self.run_once()
+        (record,) = [r for r in caplog.records if r.msg == "grant failed"]
+        assert record.delivery == "Rejected"
