Go on granting keys after an unexpected error

Cause: each owner's renewals and each move run in a task that nothing awaits. An exception that nobody expects ended the task without a line in the log, and the owner lost its keys 2.5 s later, until the lease changed hands.

Change: such an error is counted (grants.crashed) and logged with its stack trace, the grant counts as sent without an answer, and the task goes on.

Measured: tests/gateway/ownership/test_granting.py passes; its new test of an unexpected error finds no line in the log before the change.

--- a/berylweir/gateway/ownership/granting.py
+++ b/berylweir/gateway/ownership/granting.py
@@ -218,9 +218,7 @@
                 self._completed_moves.discard(move)
         for move in moves:
             if move not in self._move_tasks:
-                self._move_tasks[move] = asyncio.create_task(
-                    self._execute_move(move)
-                )
+                self._move_tasks[move] = asyncio.create_task(self._move(move))
 
     def _record_inherited_moves(self, table: models.KeyTable) -> None:
         """Records the unfinished moves of an earlier keeper, once a group."""
@@ -244,10 +242,16 @@
     ) -> None:
         """Renews the grants of an owner until the task is cancelled."""
         while True:
-            await self._wait_for_expiry(instance)
             is_accepted = False
-            async with self._lock(instance):
-                is_accepted = await self._grant_owned_ranges(group, instance)
+            try:
+                await self._wait_for_expiry(instance)
+                async with self._lock(instance):
+                    is_accepted = await self._grant_owned_ranges(
+                        group, instance
+                    )
+            except Exception:
+                # Without renewals the server would lose its keys.
+                self._report_unexpected_error(instance)
             await asyncio.sleep(
                 RENEW_INTERVAL_S if is_accepted else _RENEW_RETRY_S
             )
@@ -353,6 +357,30 @@
 
     # Moves
 
+    async def _move(self, move: RangeMove) -> None:
+        """Executes a move, again after an unexpected error."""
+        while True:
+            try:
+                await self._execute_move(move)
+                return
+            except Exception:
+                self._report_unexpected_error(move.range.owner)
+                await asyncio.sleep(_GRANT_RETRY_S)
+
+    def _report_unexpected_error(
+        self, instance: models.ServerInstance | None
+    ) -> None:
+        self._metrics.count("grants.crashed")
+        if instance is not None:
+            # The error may have come after a grant was sent.
+            self._expiries.for_server(instance).record_unanswered(
+                clock.boot_s()
+            )
+        _LOGGER.exception(
+            "unhandled error in a grant",
+            extra={"server": instance.server if instance else None},
+        )
+
     async def _execute_move(self, move: RangeMove) -> None:
         """Releases a range at its previous owner and grants it to the new one.
 
--- a/tests/gateway/ownership/test_granting.py
+++ b/tests/gateway/ownership/test_granting.py
@@ -99,7 +99,10 @@
 
 
 class RecordingServer(FakeServer):
-    """A server that rejects all grants and keeps them."""
+    """A server that rejects all grants and keeps them.
+
+    The first grant raises an error that nothing expects.
+    """
 
     def __init__(self) -> None:
         super().__init__(range(0))
@@ -108,7 +111,9 @@
     async def send(self, command: grants.Command) -> grant_client.SendOutcome:
         """Keeps a command and rejects it."""
         self.commands.append(command)
-        return grants.Rejected()
+        if len(self.commands) == 1:
+            raise ZeroDivisionError
+        return grants.Rejected(400)
 
 
 class TestRenewals:
@@ -130,10 +135,17 @@
         granter._clients[_INSTANCES[0]] = server
         granter.start_epoch(clock.boot_s())
         granter.apply_table(table)
-        await asyncio.sleep(0.05)
+        async with asyncio.timeout(10.0):
+            while len(server.commands) < 2:
+                await asyncio.sleep(0.01)
         granter.close()
         return server
 
+    async def test_unexpected_error_does_not_end_them(self, caplog):
+        """Guards against a server that loses its keys after one error."""
+        await self.run_once()
+        assert "unhandled error in a grant" in caplog.messages
+
     async def test_duration_stays_within_the_platform_s_limit(self):
         """Guards against grants that all servers of a platform reject."""
         server = await self.run_once(max_grant_ms=1500.0)
