Decode, log and count the limits that servers name

Change: what a server says of itself in a response is decoded once into `ServerStatements` (load, warm-up, limit). A response with status 421 may come from another server, and one without a signature doesn't lift a limit. Each change is logged; invalid limits are counted, and logged once a minute and server. Requests are placed as before.

--- a/berylweir/gateway/dispatch/models.py
+++ b/berylweir/gateway/dispatch/models.py
@@ -2,6 +2,7 @@
 
 import dataclasses
 import random
+import typing
 
 from berylweir.gateway import messages
 from berylweir.gateway import models
@@ -62,6 +63,8 @@
             consecutive failures, on the loop's clock, in seconds.
         full_until_s: Until when it counts as full after a rejection, on the
             loop's clock, in seconds.
+        max_rate: Requests per second that the server takes from all VMs
+            together, as it stated; None if it stated no limit.
         served: Requests served since the last usage report.
         failed: Requests failed since the last usage report.
     """
@@ -78,6 +81,7 @@
     service_ms: float = 0.0
     ejected_until_s: float = float("-inf")
     full_until_s: float = float("-inf")
+    max_rate: float | None = None
     served: int = 0
     failed: int = 0
     _other_vms_load: float = 0.0
@@ -140,13 +144,7 @@
             vm_count: Number of VMs that send to the server.
         """
         self.in_flight -= 1
-        if finished.load is not None:
-            server_load = finished.load.running + finished.load.waiting
-            self._record_other_vms_load(max(0.0, server_load - self.in_flight))
-            self._slowness = finished.load.slowness
-            self._load_reported_s = now_s
-        if finished.cold_ms is not None and finished.cold_ms > 0:
-            self.cold_until_s = now_s + finished.cold_ms / 1000.0
+        self._apply_statements(finished.statements, now_s)
         match finished.attempt_result:
             case messages.AttemptResult.SERVED:
                 self.served += 1
@@ -185,6 +183,27 @@
             ):
                 pass
 
+    def _apply_statements(
+        self, statements: models.ServerStatements, now_s: float
+    ) -> None:
+        load = statements.load
+        if load is not None:
+            server_load = load.running + load.waiting
+            self._record_other_vms_load(max(0.0, server_load - self.in_flight))
+            self._slowness = load.slowness
+            self._load_reported_s = now_s
+        if statements.cold_ms is not None and statements.cold_ms > 0:
+            self.cold_until_s = now_s + statements.cold_ms / 1000.0
+        match statements.rate_limit:
+            case models.RateLimited(per_s):
+                self.max_rate = per_s
+            case models.NotRateLimited():
+                self.max_rate = None
+            case models.RateLimitUnstated() | models.RateLimitInvalid():
+                pass
+            case _:
+                typing.assert_never(statements.rate_limit)
+
     def _record_other_vms_load(self, other_vms_load: float) -> None:
         self._other_vms_load = other_vms_load
         self._average_other_vms_load += _OTHER_VMS_LOAD_WEIGHT * (
--- /dev/null
+++ b/berylweir/gateway/dispatch/statement_log.py
@@ -0,0 +1,94 @@
+"""Logs and counts what backend servers say of themselves."""
+
+import logging
+
+from berylweir.gateway import models
+from berylweir.gateway.dispatch import models as dispatch
+from berylweir.observability import counters
+
+_LOGGER = logging.getLogger(__name__)
+# Relative change of a limit below which it isn't logged again.
+_MIN_LOGGED_CHANGE = 0.1
+# Time between two log lines on invalid statements of one server, in seconds.
+_INVALID_LOG_INTERVAL_S = 60.0
+
+
+class StatementLog:
+    """Logs each change of a server's limit, and counts invalid statements."""
+
+    def __init__(self, metrics: counters.Counters) -> None:
+        """Creates a log without any statements.
+
+        Args:
+            metrics: Counters.
+        """
+        self._metrics = metrics
+        self._logged_rates: dict[models.ServerInstance, float] = {}
+        self._invalid_logged_s: dict[models.ServerInstance, float] = {}
+
+    def retain(self, servers: set[models.ServerInstance]) -> None:
+        """Forgets all server instances except the given ones."""
+        for logged in (self._logged_rates, self._invalid_logged_s):
+            for removed in logged.keys() - servers:
+                del logged[removed]
+        self._update_gauge()
+
+    def record(
+        self,
+        state: dispatch.ServerState,
+        statements: models.ServerStatements,
+        now_s: float,
+    ) -> None:
+        """Logs what changed with a response.
+
+        Args:
+            state: The server, with the statements applied.
+            statements: What it said of itself in the response.
+            now_s: Time on the loop's clock, in seconds.
+        """
+        instance = state.server.instance
+        match statements.rate_limit:
+            case models.RateLimitInvalid(value):
+                self._metrics.count("gateway.server_limits_invalid")
+                self._log_invalid(instance, value, now_s)
+            case _:
+                pass
+        logged_rate = self._logged_rates.get(instance)
+        rate = state.max_rate
+        if rate is None:
+            if logged_rate is not None:
+                del self._logged_rates[instance]
+                self._update_gauge()
+                _LOGGER.info(
+                    "server unlimited",
+                    extra={"server": instance.server, "before": logged_rate},
+                )
+        elif (
+            logged_rate is None
+            or abs(rate - logged_rate) > _MIN_LOGGED_CHANGE * logged_rate
+        ):
+            self._logged_rates[instance] = rate
+            self._update_gauge()
+            _LOGGER.info(
+                "server limited",
+                extra={
+                    "server": instance.server,
+                    "per_s": rate,
+                    "before": logged_rate,
+                },
+            )
+
+    def _log_invalid(
+        self, instance: models.ServerInstance, value: str, now_s: float
+    ) -> None:
+        logged_s = self._invalid_logged_s.get(instance, float("-inf"))
+        if now_s - logged_s < _INVALID_LOG_INTERVAL_S:
+            return
+        self._invalid_logged_s[instance] = now_s
+        _LOGGER.warning(
+            "invalid limit of a server",
+            extra={"server": instance.server, "value": value},
+        )
+
+    def _update_gauge(self) -> None:
+        self._metrics.gauge("gateway.servers_limited", len(self._logged_rates))
--- a/berylweir/gateway/dispatch/task.py
+++ b/berylweir/gateway/dispatch/task.py
@@ -13,6 +13,7 @@
 from berylweir.gateway.dispatch import reachability
 from berylweir.gateway.dispatch import retry_budget
 from berylweir.gateway.dispatch import slow_start
+from berylweir.gateway.dispatch import statement_log
 from berylweir.observability import counters
 from berylweir.supervision import mailbox
 from berylweir.supervision import models as supervision
@@ -80,6 +81,7 @@
         self._vms: Mapping[str, models.Vm] = {}
         self._waiting_requests: list[messages.PlaceRequest] = []
         self._reachability = reachability.ReachabilityTracker()
+        self._statement_log = statement_log.StatementLog(metrics)
         # The key is the name of the server and the rate that it tolerates.
         self._slow_start_shares: dict[
             tuple[str, float], slow_start.SlowStartShare
@@ -161,6 +163,7 @@
         for instance in [key for key in self._servers if key not in instances]:
             self._servers.pop(instance).pool.close()
         self._reachability.retain(instances)
+        self._statement_log.retain(set(instances))
         for instance, server in instances.items():
             state = self._servers.get(instance)
             if state is None:
@@ -414,6 +417,7 @@
                 connection.close()
             return
         state.finish_request(finished, now_s, max(1, len(self._vms)))
+        self._statement_log.record(state, finished.statements, now_s)
         self._reachability.record_result(
             state.server, finished.attempt_result, now_s
         )
--- a/berylweir/gateway/exchange/attempt.py
+++ b/berylweir/gateway/exchange/attempt.py
@@ -4,6 +4,7 @@
 from collections.abc import AsyncIterator
 
 from berylweir.gateway import messages
+from berylweir.gateway import models
 from berylweir.gateway.dispatch import task as dispatch
 from berylweir.gateway.exchange import exceptions
 from berylweir.gateway.exchange import models as exchange
@@ -215,8 +216,7 @@
                 self._requirements,
                 attempt_result,
                 connection,
-                head.load if head else None,
-                head.warmup_ms if head else None,
+                head.statements if head else models.ServerStatements(),
                 head.keep_alive_timeout_s if head else None,
                 self._loop.time() - self._placement.placed_s,
             )
--- a/berylweir/gateway/exchange/handler.py
+++ b/berylweir/gateway/exchange/handler.py
@@ -232,8 +232,7 @@
                     requirements,
                     messages.AttemptResult.ABANDONED,
                     placement.connection,
-                    None,
-                    None,
+                    models.ServerStatements(),
                     None,
                     0.0,
                 )
--- a/berylweir/gateway/messages.py
+++ b/berylweir/gateway/messages.py
@@ -215,9 +215,7 @@
         requirements: What the request needed.
         attempt_result: How the attempt ended.
         connection: Connection that can be reused, if any.
-        load: Load that the server reported, if any.
-        cold_ms: Remaining warm-up time that the server reported, if any, in
-            ms.
+        statements: What the server said of itself in the response.
         keep_alive_timeout_s: Time for which the server keeps an idle
             connection, if it said so, in seconds.
         elapsed_s: Time since the server was chosen, in seconds.
@@ -227,8 +225,7 @@
     requirements: ServerRequirements
     attempt_result: AttemptResult
     connection: http.Connection | None
-    load: models.Load | None
-    cold_ms: float | None
+    statements: models.ServerStatements
     keep_alive_timeout_s: float | None
     elapsed_s: float
 
--- a/berylweir/gateway/models.py
+++ b/berylweir/gateway/models.py
@@ -279,6 +279,59 @@
     slowness: float
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class RateLimited:
+    """A server names a limit of the requests that it takes.
+
+    Attributes:
+        per_s: Requests per second from all VMs together; finite and at least
+            0.
+    """
+
+    per_s: float
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class NotRateLimited:
+    """A response that certainly comes from the server names no limit."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class RateLimitUnstated:
+    """A response doesn't tell whether the server has a limit."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class RateLimitInvalid:
+    """A response names a limit that isn't a number of requests.
+
+    Attributes:
+        value: The value as received, shortened.
+    """
+
+    value: str
+
+
+RateLimitStatement = (
+    RateLimited | NotRateLimited | RateLimitUnstated | RateLimitInvalid
+)
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ServerStatements:
+    """What a backend server says of itself in a response.
+
+    Attributes:
+        load: Its load, if it stated it.
+        cold_ms: Remaining warm-up time, in ms, if it stated it.
+        rate_limit: Limit on the requests that it takes.
+    """
+
+    load: Load | None = None
+    cold_ms: float | None = None
+    rate_limit: RateLimitStatement = RateLimitUnstated()
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Bounds:
     """Limits that the platform sets for all gateways together.
--- a/berylweir/platform/requests.py
+++ b/berylweir/platform/requests.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Iterable
 import dataclasses
+import math
 
 from berylweir import records
 from berylweir.gateway import models
@@ -18,6 +19,7 @@
 _NOT_RUN = b"not-run"
 _SERVER_LOAD = b"server-load"
 _WARMUP = b"warmup-ms"
+_SERVER_LIMIT = b"server-limit"
 # Hop-by-hop headers, and headers that the gateway sets itself.
 _UNFORWARDED_REQUEST_HEADERS = frozenset(
     {
@@ -45,6 +47,7 @@
         b"upgrade",
         _SERVER_LOAD,
         _WARMUP,
+        _SERVER_LIMIT,
         _NOT_RUN,
     }
 )
@@ -159,9 +162,7 @@
             request, by a `not-run` header or status 421.
         has_content_encoding: Whether the body has a content encoding. Callers
             request none, so such a body doesn't come from the server.
-        load: Load of the server; None if the header is absent or malformed.
-        warmup_ms: Time until the server has warmed up, in milliseconds; None
-            if the header is absent or no number.
+        statements: What the server says of itself.
         content_length: Length of the body in bytes; None if it isn't stated.
         keep_alive_timeout_s: Time after which the server closes an idle
             connection, in seconds; None if it isn't stated.
@@ -172,8 +173,7 @@
     is_signed: bool
     reports_not_run: bool
     has_content_encoding: bool
-    load: models.Load | None
-    warmup_ms: float | None
+    statements: models.ServerStatements
     content_length: int | None
     keep_alive_timeout_s: float | None
     headers: tuple[Header, ...]
@@ -210,10 +210,17 @@
         _SIGNATURE in values_by_name,
         _NOT_RUN in values_by_name or status == 421,
         encoding not in (b"", b"identity"),
-        _decode_load(values_by_name.get(_SERVER_LOAD)),
-        _parse_number(values_by_name[_WARMUP])
-        if _WARMUP in values_by_name
-        else None,
+        models.ServerStatements(
+            _decode_load(values_by_name.get(_SERVER_LOAD)),
+            _parse_number(values_by_name[_WARMUP])
+            if _WARMUP in values_by_name
+            else None,
+            _decode_rate_limit(
+                status,
+                values_by_name.get(_SERVER_LIMIT),
+                is_signed=_SIGNATURE in values_by_name,
+            ),
+        ),
         None if content_length is None else int(content_length),
         _decode_keep_alive_timeout(values_by_name.get(b"keep-alive")),
         tuple(forwarded),
@@ -253,6 +260,27 @@
     return models.Load(running, waiting, slots, (percent or 100.0) / 100.0)
 
 
+def _decode_rate_limit(
+    status: int, value: bytes | None, *, is_signed: bool
+) -> models.RateLimitStatement:
+    """Decodes the limit that a server names.
+
+    A response with status 421 may come from another server at the same
+    address. A response without a signature may come from a faulty server, so
+    it doesn't lift a limit.
+    """
+    if status == 421:
+        return models.RateLimitUnstated()
+    if value is None:
+        return (
+            models.NotRateLimited() if is_signed else models.RateLimitUnstated()
+        )
+    per_s = _parse_number(value)
+    if per_s is None or not math.isfinite(per_s) or per_s < 0:
+        return models.RateLimitInvalid(value[:40].decode("latin-1"))
+    return models.RateLimited(per_s)
+
+
 def _decode_keep_alive_timeout(value: bytes | None) -> float | None:
     if value is None:
         return None
--- a/tests/gateway/dispatch/test_task.py
+++ b/tests/gateway/dispatch/test_task.py
@@ -106,8 +106,7 @@
                 self.requirements(),
                 attempt_result,
                 None,
-                None,
-                None,
+                models.ServerStatements(),
                 None,
                 0.1,
             )
--- a/tests/platform/test_messages.py
+++ b/tests/platform/test_messages.py
@@ -67,6 +67,7 @@
                     [
                         b"server-load",
                         b"warmup-ms",
+                        b"server-limit",
                         b"keep-alive",
                         b"content-length",
                         b"not-run",
@@ -88,10 +89,46 @@
             200,
             [(b"server-load", b"2,5,3,140"), (b"keep-alive", b"timeout=8")],
         )
-        assert response.load == models.Load(2, 5, 3, 1.4)
+        assert response.statements.load == models.Load(2, 5, 3, 1.4)
         assert response.keep_alive_timeout_s == 8.0
 
 
+class TestRateLimit:
+    """Limits that servers name in their responses."""
+
+    def decode(
+        self, value: bytes | None, *, status: int = 200, is_signed: bool = True
+    ) -> models.RateLimitStatement:
+        """Returns the statement in a response."""
+        headers = [(b"response-seal", b"x")] if is_signed else []
+        if value is not None:
+            headers.append((b"server-limit", value))
+        response = requests.decode_response(status, headers)
+        assert all(n != b"server-limit" for n, _ in response.headers)
+        return response.statements.rate_limit
+
+    def test_limit_is_a_decimal_number(self):
+        """Guards against limits below one request per second read as 0."""
+        assert self.decode(b"0.2") == models.RateLimited(0.2)
+        assert self.decode(b"0") == models.RateLimited(0.0)
+        assert self.decode(b"1e9", status=503) == models.RateLimited(1e9)
+
+    def test_invalid_limit_is_reported_as_such(self):
+        """Guards against `nan` or a date in the arithmetic of rates."""
+        for value in (b"nan", b"inf", b"-1", b"soon", b"", b"1,5"):
+            assert isinstance(self.decode(value), models.RateLimitInvalid)
+
+    def test_only_a_response_of_the_server_itself_lifts_a_limit(self):
+        """Guards against a limit lifted by a faulty or another server."""
+        assert self.decode(None) == models.NotRateLimited()
+        for statement in (
+            self.decode(None, is_signed=False),
+            self.decode(None, status=421),
+            self.decode(b"5", status=421),
+        ):
+            assert statement == models.RateLimitUnstated()
+
+
 class TestStoredObjects:
     """Backend servers, key tables and the gateway's other objects."""
 
