Keep the limits that servers name, counted by one VM for each server

Callers saw nothing of it, but servers in need got up to 1.8 times as many requests as their limit allowed, and on a larger deployment would have got as many as were sent: no gateway knew a limit, and no two gateways could keep one together.

Cause: a statement of a server about itself was ignored, and limits that hold for all VMs together were only divided by the number of VMs (connections, slow start, retries), which doesn't work below one request per second and VM.

Change: the VM that ranks first by a hash of its and the server's name counts the requests to a limited server; the others ask it before they send one (decision 0020). The dispatcher remembers a denial, so further requests are refused at once with the time at which the limit allows one, and requests without a key go to another server. A retry that wasn't sent is given back to the retry budget.

--- a/berylweir/gateway/dispatch/decisions.py
+++ b/berylweir/gateway/dispatch/decisions.py
@@ -77,6 +77,24 @@
     )
 
 
+def permit_wait_s(
+    state: dispatch.ServerState, deadline_s: float, now_s: float
+) -> float:
+    """Returns the time until a server's limit allows another request.
+
+    Args:
+        state: The server.
+        deadline_s: Until when the request can wait for a permit.
+        now_s: Time on the loop's clock, in seconds.
+
+    Returns:
+        The time in seconds; 0 if there may be a permit before the deadline.
+    """
+    if state.max_rate is None or state.permit_available_s <= deadline_s:
+        return 0.0
+    return max(0.0, state.permit_available_s - now_s)
+
+
 def sample_servers(
     servers: Sequence[dispatch.ServerState], rng: random.Random
 ) -> Sequence[dispatch.ServerState]:
--- a/berylweir/gateway/dispatch/models.py
+++ b/berylweir/gateway/dispatch/models.py
@@ -65,6 +65,8 @@
             loop's clock, in seconds.
         max_rate: Requests per second that the server takes from all VMs
             together, as it stated; None if it stated no limit.
+        permit_available_s: When that limit allows another request, on the
+            loop's clock, in seconds; in the past unless a permit was denied.
         served: Requests served since the last usage report.
         failed: Requests failed since the last usage report.
     """
@@ -82,6 +84,7 @@
     ejected_until_s: float = float("-inf")
     full_until_s: float = float("-inf")
     max_rate: float | None = None
+    permit_available_s: float = float("-inf")
     served: int = 0
     failed: int = 0
     _other_vms_load: float = 0.0
@@ -122,6 +125,10 @@
         """Counts a request that is sent to the server."""
         self.in_flight += 1
 
+    def cancel_request(self) -> None:
+        """Takes back a request that wasn't sent."""
+        self.in_flight -= 1
+
     @property
     def is_shedding(self) -> bool:
         """Whether it rejected requests recently.
--- a/berylweir/gateway/dispatch/retry_budget.py
+++ b/berylweir/gateway/dispatch/retry_budget.py
@@ -52,3 +52,8 @@
             return False
         self._retry_times_s.append(now_s)
         return True
+
+    def refund(self) -> None:
+        """Returns a retry that wasn't sent."""
+        if self._retry_times_s:
+            self._retry_times_s.pop()
--- a/berylweir/gateway/dispatch/task.py
+++ b/berylweir/gateway/dispatch/task.py
@@ -15,6 +15,7 @@
 from berylweir.gateway.dispatch import slow_start
 from berylweir.gateway.dispatch import statement_log
 from berylweir.observability import counters
+from berylweir.router.backends import connection as http
 from berylweir.supervision import mailbox
 from berylweir.supervision import models as supervision
 
@@ -112,6 +113,8 @@
         match message:
             case messages.PlaceRequest():
                 self._place_or_queue(message)
+            case messages.PlacementReturned():
+                self._take_back(message)
             case messages.AttemptFinished():
                 self._finish_attempt(message)
             case messages.ConfigurationChanged(configuration):
@@ -283,6 +286,11 @@
             )
         if not self._is_within_slow_start_rate(state, group.settings, now_s):
             return _create_refusal(_Reason.COLD)
+        permit_wait_s = decisions.permit_wait_s(
+            state, place_request.requirements.queue_deadline_s, now_s
+        )
+        if permit_wait_s > 0:
+            return _create_refusal(_Reason.LIMITED, permit_wait_s)
         if decisions.is_full(state, now_s):
             return _create_refusal(
                 _Reason.FULL, decisions.time_until_capacity_s(state, now_s)
@@ -310,11 +318,22 @@
         ]
         if not within_rate:
             return _create_refusal(_Reason.COLD)
+        permit_waits_s = [
+            decisions.permit_wait_s(s, requirements.queue_deadline_s, now_s)
+            for s in within_rate
+        ]
+        within_limit = [
+            s
+            for s, wait_s in zip(within_rate, permit_waits_s, strict=True)
+            if wait_s <= 0
+        ]
+        if not within_limit:
+            return _create_refusal(_Reason.LIMITED, min(permit_waits_s))
         reachable = [
             s
-            for s in within_rate
+            for s in within_limit
             if self._reachability.allows_request(s.server, now_s)
-        ] or within_rate
+        ] or within_limit
         untried = [
             s
             for s in reachable
@@ -395,6 +414,7 @@
             ),
             now_s,
             state.estimated_load(now_s),
+            state.max_rate,
         )
         state.start_request()
         self._reachability.record_attempt(state.server, now_s)
@@ -408,6 +428,25 @@
         if not place_request.reply.done():
             place_request.reply.set_result(refusal)
 
+    def _take_back(self, returned: messages.PlacementReturned) -> None:
+        """Takes back a placement whose request wasn't sent."""
+        now_s = self._now_s()
+        placement = returned.placement
+        requirements = returned.requirements
+        group = self._groups.get(requirements.group)
+        if group is not None and requirements.is_retry:
+            group.budget.refund()
+        state = self._servers.get(placement.server.instance)
+        if state is None:
+            if placement.connection is not None:
+                placement.connection.close()
+            return
+        state.cancel_request()
+        if returned.permit_available_s is not None:
+            state.permit_available_s = returned.permit_available_s
+        if placement.connection is not None:
+            self._release_connection(state, placement.connection, None, now_s)
+
     def _finish_attempt(self, finished: messages.AttemptFinished) -> None:
         now_s = self._now_s()
         state = self._servers.get(finished.placement.server.instance)
@@ -421,20 +460,30 @@
         self._reachability.record_result(
             state.server, finished.attempt_result, now_s
         )
-        if connection is None:
-            return
+        if connection is not None:
+            self._release_connection(
+                state, connection, finished.keep_alive_timeout_s, now_s
+            )
+
+    # Connections
+
+    def _release_connection(
+        self,
+        state: dispatch.ServerState,
+        connection: http.Connection,
+        keep_alive_timeout_s: float | None,
+        now_s: float,
+    ) -> None:
         if state.server.is_draining:
             connection.close()
             return
         state.pool.release(
             connection,
             now_s,
-            finished.keep_alive_timeout_s,
+            keep_alive_timeout_s,
             self._max_idle_connections(state.server),
         )
 
-    # Connections
-
     def _max_idle_connections(self, server: models.BackendServer) -> int:
         group = self._groups.get(server.group)
         if group is None:
--- a/berylweir/gateway/exchange/handler.py
+++ b/berylweir/gateway/exchange/handler.py
@@ -11,6 +11,7 @@
 from berylweir.gateway.exchange import attempt
 from berylweir.gateway.exchange import models as exchange
 from berylweir.gateway.exchange import outcomes
+from berylweir.gateway.permits import task as permits
 from berylweir.gateway.routing import decisions as routing
 from berylweir.observability import counters
 from berylweir.platform import requests
@@ -51,15 +52,20 @@
     """Handles requests by the current configuration."""
 
     def __init__(
-        self, inbox: dispatch.Inbox, metrics: counters.Counters
+        self,
+        inbox: dispatch.Inbox,
+        permits_inbox: permits.Inbox,
+        metrics: counters.Counters,
     ) -> None:
         """Creates a handler without a configuration; it refuses all requests.
 
         Args:
             inbox: Mailbox of the dispatcher.
+            permits_inbox: Mailbox of the task that gives permits.
             metrics: Counters.
         """
         self._inbox = inbox
+        self._permits_inbox = permits_inbox
         self._metrics = metrics
         self._route_table: routing.RouteTable | None = None
         self._traffic_splitter = routing.TrafficSplitter()
@@ -116,6 +122,8 @@
                     )
                 case messages.Placement():
                     pass
+            if not await self._acquire_permit(requirements, placement):
+                continue
             step = await self._run_attempt(
                 request, route, requirements, placement, state
             )
@@ -212,6 +220,47 @@
             deadline_s=deadline_s,
         )
 
+    async def _acquire_permit(
+        self,
+        requirements: messages.ServerRequirements,
+        placement: messages.Placement,
+    ) -> bool:
+        """Waits until the server's limit allows the request, if it names one.
+
+        Returns:
+            Whether the request may be sent. If not, the placement was returned
+            to the dispatcher.
+        """
+        if placement.limit is None:
+            return True
+        loop = asyncio.get_running_loop()
+        reply: asyncio.Future[messages.Permit] = loop.create_future()
+        available_s: float | None = None
+        is_permitted = False
+        try:
+            self._permits_inbox.post(
+                messages.AcquirePermit(
+                    placement.server.instance,
+                    placement.limit,
+                    max(0.0, requirements.queue_deadline_s - loop.time()),
+                    reply,
+                )
+            )
+            match await reply:
+                case messages.PermitGranted(start_s):
+                    await asyncio.sleep(max(0.0, start_s - loop.time()))
+                    is_permitted = True
+                case messages.PermitDenied(available_s):
+                    pass
+        finally:
+            if not is_permitted:
+                self._inbox.post(
+                    messages.PlacementReturned(
+                        placement, requirements, available_s
+                    )
+                )
+        return is_permitted
+
     def _release_abandoned(
         self,
         reply: "asyncio.Future[messages.Placement | messages.NotPlaced]",
--- a/berylweir/gateway/messages.py
+++ b/berylweir/gateway/messages.py
@@ -134,12 +134,16 @@
         connection: Open connection to use; None to open one.
         placed_s: When it was chosen, on the event loop's clock, in seconds.
         load: Estimated number of requests at the server at that moment.
+        limit: Requests per second that the server takes from all VMs together;
+            None if it takes any number. With a limit, the request may be sent
+            once there is a permit for it.
     """
 
     server: models.BackendServer
     connection: http.Connection | None
     placed_s: float
     load: float
+    limit: float | None = None
 
 
 class RefusalReason(enum.Enum):
@@ -150,6 +154,7 @@
     UNREACHABLE = "unreachable"
     FULL = "full"
     COLD = "cold"
+    LIMITED = "limited"
     RETRY_BUDGET = "retry_budget"
 
 
@@ -230,6 +235,85 @@
     elapsed_s: float
 
 
+@records.record
+class PlacementReturned:
+    """Returns a placement to the dispatcher; the request wasn't sent.
+
+    Attributes:
+        placement: Server and connection.
+        requirements: What the request needed.
+        permit_available_s: When the server's limit allows another request, on
+            the event loop's clock, in seconds; None if that isn't the reason.
+    """
+
+    placement: Placement
+    requirements: ServerRequirements
+    permit_available_s: float | None
+
+
+@records.record
+class PermitGranted:
+    """Allows a request to a server with a limit.
+
+    Attributes:
+        start_s: When it may be sent, on the event loop's clock, in seconds.
+    """
+
+    start_s: float
+
+
+@records.record
+class PermitDenied:
+    """Says that a server's limit allows no request in time.
+
+    Attributes:
+        available_s: When it will allow the next one, on the event loop's
+            clock, in seconds.
+    """
+
+    available_s: float
+
+
+Permit = PermitGranted | PermitDenied
+
+
+@records.record
+class AcquirePermit:
+    """Asks for permission to send a request to a server with a limit.
+
+    Attributes:
+        server: The server.
+        limit: Requests per second that it takes from all VMs together.
+        max_wait_s: Longest wait of the request, in seconds.
+        reply: Receives the permit; cancelled if the caller disconnects.
+    """
+
+    server: models.ServerInstance
+    limit: float
+    max_wait_s: float
+    reply: "asyncio.Future[Permit]"
+
+
+@records.record
+class CountRequest:
+    """Asks this VM, as the counter of a server, for a permit.
+
+    Attributes:
+        server: The server.
+        rate: Requests per second to grant.
+        max_wait_s: Longest wait of the request, in seconds.
+        reply: Receives the permit.
+    """
+
+    server: models.ServerInstance
+    rate: float
+    max_wait_s: float
+    reply: "asyncio.Future[Permit]"
+
+
+PermitMessage = VmsChanged | AcquirePermit | CountRequest
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class ServerUsage:
     """Requests of one VM to a server since its last report.
@@ -273,5 +357,9 @@
 
 
 DispatcherMessage = (
-    StoreUpdate | PlaceRequest | AttemptFinished | CollectKeyUsage
+    StoreUpdate
+    | PlaceRequest
+    | PlacementReturned
+    | AttemptFinished
+    | CollectKeyUsage
 )
--- a/berylweir/gateway/ownership/task.py
+++ b/berylweir/gateway/ownership/task.py
@@ -181,6 +181,7 @@
                 | peers.GetStatus()
                 | peers.PublishTable()
                 | peers.PublishTableChanges()
+                | peers.AcquirePermit()
             ):
                 pass
         return self._lease.status(self._get_table_revisions())
--- a/berylweir/gateway/peers/messages.py
+++ b/berylweir/gateway/peers/messages.py
@@ -153,6 +153,42 @@
     changes: CompressedChanges
 
 
+class AcquirePermit(msgspec.Struct, frozen=True, tag="permit"):
+    """Asks for permission to send a request to a server with a limit.
+
+    Attributes:
+        server: Id of the server.
+        born_ms: Unix time of its start, in ms.
+        rate: Requests per second to grant, over all VMs.
+        max_wait_s: Longest wait of the request, in seconds.
+    """
+
+    server: str
+    born_ms: int
+    rate: float
+    max_wait_s: float
+
+
+class PermitGranted(msgspec.Struct, frozen=True, tag="permitted"):
+    """Answers `AcquirePermit`: the request may be sent.
+
+    Attributes:
+        wait_s: Time after which it may be sent, in seconds.
+    """
+
+    wait_s: float
+
+
+class PermitDenied(msgspec.Struct, frozen=True, tag="not_permitted"):
+    """Answers `AcquirePermit`: the limit allows no request in time.
+
+    Attributes:
+        wait_s: Time until it allows the next one, in seconds.
+    """
+
+    wait_s: float
+
+
 class GatewayStatus(msgspec.Struct, frozen=True, tag="standing"):
     """Status of a gateway; answers all requests that have no other reply.
 
@@ -198,8 +234,16 @@
     | GetChangedRevisions
     | PublishTable
     | PublishTableChanges
+    | AcquirePermit
+)
+Reply = (
+    GatewayStatus
+    | ObjectsSnapshot
+    | Changes
+    | ChangedRevisions
+    | PermitGranted
+    | PermitDenied
 )
-Reply = GatewayStatus | ObjectsSnapshot | Changes | ChangedRevisions
 
 _ENCODER = msgspec.msgpack.Encoder()
 _REQUESTS = msgspec.msgpack.Decoder(Request)
--- a/berylweir/gateway/peers/task.py
+++ b/berylweir/gateway/peers/task.py
@@ -160,6 +160,7 @@
         request: messages.Request,
         *,
         max_hold_s: float = 0.0,
+        reply_timeout_s: float = REPLY_TIMEOUT_S,
     ) -> result.Result[messages.Reply, exceptions.PeerFailure]:
         """Sends a request to the gateway of a VM and waits for the reply.
 
@@ -168,6 +169,8 @@
             request: The request.
             max_hold_s: Time for which the gateway may hold the request before
                 it replies, in seconds.
+            reply_timeout_s: Time for the reply in addition to that, in
+                seconds.
 
         Returns:
             The reply, or the failure if there was none in time.
@@ -179,7 +182,7 @@
         # replies on one socket.
         nng_context = socket.new_context()
         try:
-            async with asyncio.timeout(max_hold_s + REPLY_TIMEOUT_S):
+            async with asyncio.timeout(max_hold_s + reply_timeout_s):
                 await sockets.send(nng_context, messages.encode(request))
                 data = await sockets.receive(nng_context)
         except (TimeoutError, OSError, pynng.NNGException) as error:
--- a/berylweir/gateway/supervisor.py
+++ b/berylweir/gateway/supervisor.py
@@ -15,6 +15,7 @@
 from berylweir.gateway.peers import messages as peer_messages
 from berylweir.gateway.peers import snapshots
 from berylweir.gateway.peers import task as peers
+from berylweir.gateway.permits import task as permits
 from berylweir.gateway.replication import change_feed
 from berylweir.gateway.replication import codec
 from berylweir.gateway.replication import coordinator
@@ -77,12 +78,17 @@
     keeper_inbox = ownership.create_inbox()
     ingress_inbox = ingress.create_inbox()
     peer_client = peers.PeerClient(metrics)
+    permits_inbox = permits.create_inbox()
+    permit_task = permits.PermitTask(
+        local_vm, peer_client, permits_inbox, metrics
+    )
     snapshot_client = snapshots.SnapshotClient(local_vm, peer_client)
     subscribers: list[store_cache.Subscriber] = [
         dispatch_inbox.post,
         keeper_inbox.post,
         ingress_inbox.post,
         snapshot_client.on_store_update,
+        permit_task.on_store_update,
     ]
     cache = store_cache.StoreCache(subscribers, metrics)
     reader = table_reader.TableReader(
@@ -143,6 +149,8 @@
                 return peer_messages.ObjectsSnapshot(
                     kind, 0, codec.encode_objects([])
                 )
+            case peer_messages.AcquirePermit():
+                return await permit_task.answer_peer(request)
             case peer_messages.GetChanges():
                 return await feed.get_changes(request)
             case peer_messages.GetChangedRevisions():
@@ -150,7 +158,9 @@
             case _:
                 return await keeper.handle_request(request)
 
-    request_handler = handler.RequestHandler(dispatch_inbox, metrics)
+    request_handler = handler.RequestHandler(
+        dispatch_inbox, permits_inbox, metrics
+    )
     ingress_server = ingress.Ingress(
         environment, request_handler, ingress_inbox, metrics
     )
@@ -179,6 +189,7 @@
             dispatch.Dispatcher(environment, dispatch_inbox, metrics).run,
             stop_timeout_s=0.0,
         ),
+        supervision.ChildSpec("permits", permit_task.run, stop_timeout_s=0.0),
         supervision.ChildSpec("keeper", keeper.run, stop_timeout_s=1.0),
         supervision.ChildSpec(
             "peers", peers.PeerServer(environment, answer_peer, metrics).run
--- a/berylweir/standin/gateway_platform/server.py
+++ b/berylweir/standin/gateway_platform/server.py
@@ -29,6 +29,7 @@
         path: Path.
         key: Key, if the request has one.
         deadline_ms: Value of `Deadline-Ms`, in milliseconds, if there is one.
+        started_s: When it started, on the server's clock, in seconds.
     """
 
     request_id: str
@@ -36,6 +37,7 @@
     path: str
     key: int | None
     deadline_ms: float | None
+    started_s: float
 
 
 class Server:
@@ -49,6 +51,8 @@
         next_responses: Responses, mostly faulty, that replace those to the
             next executed requests.
         service_s: Execution time of a request, in seconds.
+        limit_per_s: Requests per second that it says it takes; None if it
+            names no limit.
         in_flight: Number of requests that it is executing.
         choose_grant_delay_s: Returns the delay of a grant in seconds, or None
             to apply it at once. A delayed grant gets no response.
@@ -77,6 +81,7 @@
         self.ownership_calls: list[str] = []
         self.next_responses: list[http.Response] = []
         self.service_s = service_s
+        self.limit_per_s: float | None = None
         self.in_flight = 0
         self.choose_grant_delay_s: Callable[[], float | None] = lambda: None
         self._slots = slots
@@ -160,6 +165,7 @@
                 request.path,
                 key,
                 float(deadline) if deadline is not None else None,
+                self._clock(),
             )
         )
         self.in_flight += 1
@@ -190,15 +196,14 @@
         """Returns the response to a request, with its `Response-Seal`."""
         body = f"{self.name} {path}".encode()
         seal = hashlib.sha256(request_id.encode() + body).hexdigest()[:16]
-        return http.Response(
-            200,
-            {
-                "Request-Id": request_id,
-                "Response-Seal": seal,
-                "Server-Load": f"{self.in_flight},0,{self._slots},100",
-            },
-            body,
-        )
+        headers = {
+            "Request-Id": request_id,
+            "Response-Seal": seal,
+            "Server-Load": f"{self.in_flight},0,{self._slots},100",
+        }
+        if self.limit_per_s is not None:
+            headers["Server-Limit"] = f"{self.limit_per_s:g}"
+        return http.Response(200, headers, body)
 
 
 def server_spec(
