Move keys away from servers that name a limit

Cause: the planner of moves measures capacity by slots and service time alone.

Change: the VMs report the limits that servers name to the lease holder, and a server counts as fully utilised when its limit is reached. A report that is served without a limit ends it.

The new test of the planner fails before (it has no limits).

--- a/berylweir/gateway/dispatch/task.py
+++ b/berylweir/gateway/dispatch/task.py
@@ -194,9 +194,12 @@
                 group.requested_keys.clear()
         servers = {}
         for state in self._servers.values():
-            if state.served or state.failed:
+            if state.served or state.failed or state.max_rate is not None:
                 servers[state.server.name] = messages.ServerUsage(
-                    state.served, state.failed, state.service_ms
+                    state.served,
+                    state.failed,
+                    state.service_ms,
+                    state.max_rate,
                 )
                 state.served = state.failed = 0
         return messages.KeyUsage(self._vm, keys, servers)
--- a/berylweir/gateway/messages.py
+++ b/berylweir/gateway/messages.py
@@ -323,11 +323,14 @@
         failed: Number of requests that got no response or a failure.
         service_ms: Typical duration of a request that didn't wait in a queue,
             in ms; 0 if there was none.
+        limit: Requests per second that the server said it takes from all VMs
+            together; None if it named no limit.
     """
 
     served: int
     failed: int
     service_ms: float
+    limit: float | None = None
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/berylweir/gateway/ownership/balance.py
+++ b/berylweir/gateway/ownership/balance.py
@@ -1,7 +1,8 @@
 """Plans moves of keys that balance the utilisation of the servers.
 
 Utilisation is the request rate of a server's keys times the service time, per
-slot: at 1.0 all slots are always busy.
+slot: at 1.0 all slots are always busy. The rate relative to the limit that the
+server names counts instead if that is higher.
 """
 
 import bisect
@@ -39,6 +40,8 @@
 # flight on the keys of each part that the split aims at.
 _MAX_PARTS = 6
 _IN_FLIGHT_PER_PART = 0.4
+# Lowest limit of a server, in requests per second, that is told apart from 0.
+_MIN_LIMIT = 0.1
 # Maximum factor by which failures raise a server's estimated utilisation.
 _MAX_FAILURE_FACTOR = 4.0
 
@@ -79,14 +82,19 @@
         """Returns the utilisation that one request per second causes.
 
         A server that fails requests counts as busier, so that it gets fewer
-        keys.
+        keys. One that names a limit is fully utilised when it is reached.
         """
         candidate = self.candidates[instance]
         service_ms = candidate.service_ms or self.mean_service_ms
         failure_factor = min(
             _MAX_FAILURE_FACTOR, 1.0 / max(0.01, 1.0 - candidate.failure_ratio)
         )
-        return failure_factor * service_ms / 1000.0 / max(1, candidate.slots)
+        utilisation = (
+            failure_factor * service_ms / 1000.0 / max(1, candidate.slots)
+        )
+        if candidate.limit is None:
+            return utilisation
+        return max(utilisation, 1.0 / max(_MIN_LIMIT, candidate.limit))
 
     def load(self, instance: models.ServerInstance) -> move_value.ServerLoad:
         """Returns the estimated load of a candidate."""
--- a/berylweir/gateway/ownership/candidates.py
+++ b/berylweir/gateway/ownership/candidates.py
@@ -115,6 +115,7 @@
                     server.slots,
                     self._statistics.service_ms(server.name),
                     self._statistics.failure_ratio(server.name),
+                    self._statistics.limit(server.name, now_s),
                 )
             )
         return candidates
--- a/berylweir/gateway/ownership/demand.py
+++ b/berylweir/gateway/ownership/demand.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Iterable
 from collections.abc import Mapping
+import dataclasses
 
 from berylweir.gateway import messages
 from berylweir.gateway import models
@@ -22,6 +23,9 @@
 _SMOOTHING_WEIGHT = 0.3
 # Weight of the mean of all servers in the estimate of one server, in requests.
 _PRIOR_SAMPLES = 10
+# Time for which a reported limit holds, in seconds. It is longer than the time
+# between two reports of a VM.
+_LIMIT_MAX_AGE_S = 5.0
 # One request adds ln 2 / half-life to the rate of its key, so that the estimate
 # of a steady rate converges to that rate.
 _LN2 = 0.6931
@@ -64,23 +68,44 @@
         )
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class _ReportedLimit:
+    """A limit that a server named to a VM.
+
+    Attributes:
+        per_s: Requests per second.
+        reported_s: When the VM last reported it, on the boot clock, in seconds.
+    """
+
+    per_s: float
+    reported_s: float
+
+
 class ServerStatistics:
-    """Averages the service times and failures that the VMs report."""
+    """What the VMs report on the servers: service times, failures, limits."""
 
     def __init__(self) -> None:
         """Creates averages without any reports."""
         self._mean_service_ms: dict[str, float] = {}
         self._response_counts: dict[str, int] = {}
         self._failure_ratios: dict[str, float] = {}
+        self._limits: dict[str, _ReportedLimit] = {}
 
-    def record(self, servers: Mapping[str, messages.ServerUsage]) -> None:
+    def record(
+        self, servers: Mapping[str, messages.ServerUsage], now_s: float = 0.0
+    ) -> None:
         """Adds one VM's report to the averages.
 
         Args:
             servers: Requests and service times since its last report, by the
                 name of the server.
+            now_s: Time on the boot clock, in seconds.
         """
         for name, usage in servers.items():
+            if usage.limit is not None:
+                self._limits[name] = _ReportedLimit(usage.limit, now_s)
+            elif usage.served > 0:
+                self._limits.pop(name, None)
             request_count = usage.served + usage.failed
             if request_count == 0:
                 continue
@@ -116,6 +141,18 @@
             + _PRIOR_SAMPLES * mean_ms
         ) / (response_count + _PRIOR_SAMPLES)
 
+    def limit(self, name: str, now_s: float) -> float | None:
+        """Returns a server's limit in requests per second; None if it has none.
+
+        Args:
+            name: Name of the server.
+            now_s: Time on the boot clock, in seconds.
+        """
+        reported = self._limits.get(name)
+        if reported is None or now_s - reported.reported_s > _LIMIT_MAX_AGE_S:
+            return None
+        return reported.per_s
+
     def failure_ratio(self, name: str) -> float:
         """Returns the fraction of a server's requests that fail, 0 to 1."""
         return self._failure_ratios.get(name, 0.0)
--- a/berylweir/gateway/ownership/models.py
+++ b/berylweir/gateway/ownership/models.py
@@ -30,12 +30,14 @@
         slots: Requests that it runs concurrently.
         service_ms: Typical service time of a request, in ms; 0 if unknown.
         failure_ratio: Fraction of its requests that fail, from 0 to 1.
+        limit: Requests per second that it takes; None if it named no limit.
     """
 
     instance: models.ServerInstance
     slots: int
     service_ms: float
     failure_ratio: float
+    limit: float | None = None
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/berylweir/gateway/ownership/task.py
+++ b/berylweir/gateway/ownership/task.py
@@ -240,7 +240,7 @@
             self._demand_estimators.setdefault(
                 group, demand.DemandEstimator()
             ).record(keys)
-        self._server_statistics.record(usage.servers)
+        self._server_statistics.record(usage.servers, clock.boot_s())
 
     def _collect_report(self) -> "asyncio.Future[peers.ReportUsage]":
         """Returns a future of a report with the dispatcher's key usage."""
--- a/berylweir/gateway/peers/messages.py
+++ b/berylweir/gateway/peers/messages.py
@@ -19,6 +19,7 @@
     served: int
     failed: int
     service_ms: float
+    limit: float | None = None
 
 
 class ReportUsage(msgspec.Struct, frozen=True, tag="use"):
@@ -281,7 +282,7 @@
         usage.vm,
         {group: list(keys) for group, keys in usage.keys.items()},
         {
-            name: ServerUsage(s.served, s.failed, s.service_ms)
+            name: ServerUsage(s.served, s.failed, s.service_ms, s.limit)
             for name, s in usage.servers.items()
         },
     )
@@ -293,7 +294,7 @@
         message.vm,
         {group: tuple(keys) for group, keys in message.keys.items()},
         {
-            name: gateway.ServerUsage(s.served, s.failed, s.service_ms)
+            name: gateway.ServerUsage(s.served, s.failed, s.service_ms, s.limit)
             for name, s in message.servers.items()
         },
     )
--- a/tests/gateway/ownership/test_balance.py
+++ b/tests/gateway/ownership/test_balance.py
@@ -1,5 +1,7 @@
 """Tests of the planning of moves."""
 
+import dataclasses
+
 import hypothesis
 from hypothesis import strategies as st
 
@@ -87,6 +89,24 @@
         rates = request_rates(table, demand)
         assert rates[0] > 2 * max(rates[1:])
 
+    def test_keys_leave_a_server_that_names_a_limit(self):
+        """Guards against refusals at a limit while others have capacity."""
+        demand = ownership.Demand({k * 600: 0.2 for k in range(100)}, 0.0001)
+        servers = [
+            dataclasses.replace(candidate, limit=limit)
+            for candidate, limit in zip(
+                candidates(100, 100, 100, 100),
+                (8.0, 6.0, 0.0, None),
+                strict=True,
+            )
+        ]
+        table = apply_moves(tables.create("g", _INSTANCES, 1), servers, demand)
+        rates = request_rates(table, demand)
+        # The servers can take 8 + 6 + 0 + 30 requests a second in all.
+        assert rates[0] < 8.0
+        assert rates[1] < 6.0
+        assert rates[2] < 1.0
+
     def test_a_single_busy_key_goes_to_the_fastest_server(self):
         """Guards against a busy key on a server too slow for its rate."""
         demand = ownership.Demand({60_000: 30.0, 5: 1.0}, 0.0001)
