Never go back to an older version of the configuration

Cause: the configuration was ordered by the store's revision alone. A store that is restored from a copy has an older version, and writes to it get newer revisions in the end, so a gateway could take back a configuration that had been in force. A version that is no number was taken as well.

Change: the operator's version comes first in the order, then the revision.

--- a/berylweir/gateway/models.py
+++ b/berylweir/gateway/models.py
@@ -100,7 +100,7 @@
     """One version of the operator's configuration.
 
     Attributes:
-        version: Version that the operator gave it.
+        version: Version that the operator gave it, as hexadecimal digits.
         revision: Revision of the store at which it was written.
         routes: All routes.
         groups: Server groups by name.
@@ -113,6 +113,15 @@
     groups: Mapping[str, ServerGroup]
     limits: CallerLimits
 
+    @property
+    def order(self) -> tuple[int, int]:
+        """Key by which newer configurations are higher.
+
+        The version comes first: a store that was restored from a copy has an
+        older version at a newer revision.
+        """
+        return int(self.version, 16), self.revision
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class BackendServer:
--- a/berylweir/gateway/store_cache.py
+++ b/berylweir/gateway/store_cache.py
@@ -39,6 +39,7 @@
         """
         self._subscribers = subscribers
         self._metrics = metrics
+        self._configuration: models.Configuration | None = None
         self._configuration_revision = 0
         self._servers: dict[str, models.BackendServer] = {}
         self._undecodable_revisions: dict[str, int] = {}
@@ -60,18 +61,33 @@
         for stored in stored_objects:
             if (
                 stored.name != objects.CONFIGURATION_NAME
-                or stored.revision <= self._configuration_revision
+                or stored.revision == self._configuration_revision
             ):
                 continue
             match objects.decode_configuration(stored):
                 case result.Ok(configuration):
                     self._configuration_revision = stored.revision
-                    self._notify(messages.ConfigurationChanged(configuration))
+                    self._apply_configuration(configuration)
                 case result.Err(failure):
                     self._report_undecodable(
                         objects.CONFIGURATION_KIND, stored, failure
                     )
 
+    def _apply_configuration(self, configuration: models.Configuration) -> None:
+        current = self._configuration
+        if current is not None and configuration.order <= current.order:
+            _LOGGER.info(
+                "older configuration ignored",
+                extra={
+                    "configuration": configuration.version,
+                    "revision": configuration.revision,
+                    "in_force": current.version,
+                },
+            )
+            return
+        self._configuration = configuration
+        self._notify(messages.ConfigurationChanged(configuration))
+
     def update_servers(self, stored_objects: list[store.StoredObject]) -> None:
         """Announces all backend servers.
 
--- a/berylweir/platform/objects.py
+++ b/berylweir/platform/objects.py
@@ -100,7 +100,8 @@
     """Decodes the configuration object, or returns `Undecodable`."""
     try:
         raw = _CONFIGURATION_DECODER.decode(stored.spec)
-    except msgspec.MsgspecError as error:
+        int(raw.cfg_ver, 16)
+    except (msgspec.MsgspecError, ValueError) as error:
         return result.Err(exceptions.Undecodable(stored.name, str(error)))
     return result.Ok(
         models.Configuration(
