Keep revisions in order when the store is restored from a copy

Callers of an added route got 404, callers of a changed one were served by its old service, and leaving servers got requests, for as long as the store's revisions were below those of before its restoration.

Cause: a watch from a revision that the restored store doesn't have is answered with 410. The listing that follows was discarded since its revision is lower than the known one, and the watch went on from there: without a pause, 400 to 620 times a second. A watch whose revision had been given out again would have missed changes.

Change: the responses of the store name its generation (`Store-Era`). Revisions in the gateway consist of the generation and the store's number, so all of a later generation are higher (`gateway/revisions.py`). A watch or a condition of an earlier generation is not sent any more, an answer of another generation to a watch isn't used, and a waiting watch ends when any client of the process hears of the restoration. Listings that fail in a row are spaced like other failures.

Measured: tests/gateway/test_restored_store.py fails before (TimeoutError: the added route isn't served in 2.5 s).

--- a/berylweir/gateway/replication/task.py
+++ b/berylweir/gateway/replication/task.py
@@ -218,7 +218,7 @@
             needs_list = not self._state.is_loaded or isinstance(
                 failure, exceptions.HistoryExpired
             )
-            if isinstance(failure, exceptions.HistoryExpired):
+            if isinstance(failure, exceptions.HistoryExpired) and failures == 1:
                 continue
             pause_s = min(_BACKOFF_MAX_S, _BACKOFF_S * 2.0**failures)
             await asyncio.sleep(pause_s * random.uniform(0.5, 1.0))
--- a/berylweir/gateway/supervisor.py
+++ b/berylweir/gateway/supervisor.py
@@ -71,8 +71,10 @@
         size=environment.size,
     )
 
+    store_generation = store.StoreGeneration()
+
     def create_client() -> store.StoreClient:
-        return store.StoreClient(address)
+        return store.StoreClient(address, store_generation)
 
     dispatch_inbox = dispatch.create_inbox()
     keeper_inbox = ownership.create_inbox()
--- a/berylweir/platform/exceptions.py
+++ b/berylweir/platform/exceptions.py
@@ -77,10 +77,12 @@
     Attributes:
         name: Name of the object.
         body: Current state of the object, as JSON.
+        generation: Generation of the store that the response states.
     """
 
     name: str
     body: bytes
+    generation: int = 0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/berylweir/platform/store.py
+++ b/berylweir/platform/store.py
@@ -1,12 +1,17 @@
 """Client of the platform's object store, over one HTTP connection."""
 
 import asyncio
+from collections.abc import Callable
+from collections.abc import Iterable
 import contextlib
+import dataclasses
+import logging
 import urllib.parse
 
 import msgspec
 import result
 
+from berylweir.gateway import revisions
 from berylweir.platform import exceptions
 from berylweir.platform import settings
 from berylweir.router.backends import connection as http
@@ -19,6 +24,11 @@
 # 30,000.
 WATCH_WAIT_MS = 25_000
 _PATH_PREFIX = "/berylweir/objects"
+_GENERATION_HEADER = b"store-era"
+# Highest generation that is taken from a response. It rises by one with each
+# restoration.
+_MAX_GENERATION = 1_000_000
+_LOGGER = logging.getLogger(__name__)
 
 
 class _Meta(msgspec.Struct):
@@ -46,7 +56,7 @@
 
     @property
     def revision(self) -> int:
-        """Store revision at which the object last changed."""
+        """Revision, with the store's generation, of its last change."""
         return self.meta.rev
 
 
@@ -113,20 +123,83 @@
 _EVENTS_DECODER = msgspec.json.Decoder(_Events)
 
 
+class StoreGeneration:
+    """Generation of the store, shared by all clients of a process.
+
+    It rises when the store comes back from an older copy. What was written
+    since the copy was made is gone then, and revisions are given out again.
+    """
+
+    def __init__(self) -> None:
+        """Creates the generation of a store that was never called."""
+        self._current: int | None = None
+        self._listeners: list[Callable[[], None]] = []
+
+    @property
+    def current(self) -> int:
+        """Highest generation that a response named; 0 if none did."""
+        return self._current or 0
+
+    def subscribe(self, listener: Callable[[], None]) -> None:
+        """Has a function called after each restoration of the store."""
+        self._listeners.append(listener)
+
+    def record(self, generation: int) -> None:
+        """Records the generation that a response names."""
+        if self._current is not None and generation <= self._current:
+            return
+        before, self._current = self._current, generation
+        if before is None:
+            return
+        _LOGGER.warning(
+            "store restored", extra={"before": before, "generation": generation}
+        )
+        for listener in self._listeners:
+            listener()
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Response:
+    """A successful response of the store.
+
+    Attributes:
+        body: The body.
+        generation: Generation of the store that it states; 0 if it doesn't.
+    """
+
+    body: bytes
+    generation: int
+
+
 class StoreClient:
     """Client of the object store; not for concurrent calls.
 
     Opens its connection with the first call and reopens it after a failure.
+    Revisions in its arguments and results include the store's generation.
     """
 
-    def __init__(self, address: settings.StoreAddress) -> None:
+    def __init__(
+        self,
+        address: settings.StoreAddress,
+        generation: StoreGeneration | None = None,
+    ) -> None:
         """Creates a client without opening a connection.
 
         Args:
             address: Address of the store, read for each call.
+            generation: Generation of the store that all clients of the process
+                share; None for a client of its own.
         """
         self._address = address
+        self._generation = generation or StoreGeneration()
+        self._generation.subscribe(self._on_store_restored)
         self._connection: http.Connection | None = None
+        self._is_watching = False
+
+    @property
+    def generation(self) -> int:
+        """Generation of the store, as far as it is known."""
+        return self._generation.current
 
     def close(self) -> None:
         """Closes the connection; a call in progress fails."""
@@ -134,6 +207,11 @@
             self._connection.close()
             self._connection = None
 
+    def _on_store_restored(self) -> None:
+        if self._is_watching:
+            # The watch waits for revisions that the store gives out again.
+            self.close()
+
     async def list_all(
         self, kind: str
     ) -> result.Result[Listing, exceptions.StoreFailure]:
@@ -153,20 +231,21 @@
             match await self._send_request("GET", path):
                 case result.Err(failure):
                     return result.Err(failure)
-                case result.Ok(body):
+                case result.Ok(response):
                     pass
             try:
-                page = _PAGE_DECODER.decode(body)
+                page = _PAGE_DECODER.decode(response.body)
             except msgspec.MsgspecError as error:
                 return result.Err(exceptions.Undecodable(kind, str(error)))
             for raw in page.items:
-                stored_object = _decode_object(raw)
+                stored_object = _decode_object(raw, response.generation)
                 if stored_object is None:
                     undecodable += 1
                 else:
                     objects.append(stored_object)
             if not page.more or not objects:
-                return result.Ok(Listing(objects, page.as_of, undecodable))
+                revision = revisions.compose(response.generation, page.as_of)
+                return result.Ok(Listing(objects, revision, undecodable))
             after = urllib.parse.quote(objects[-1].name, safe="")
             query = f"?after={after}"
 
@@ -192,28 +271,48 @@
             The changes, empty if the wait ended without one; or
             `HistoryExpired` if the objects must be listed again.
         """
-        path = f"{_PATH_PREFIX}/{kind}?watch={revision}&waitMs={wait_ms}"
+        generation = revisions.generation(revision)
+        if generation < self._generation.current:
+            return result.Err(exceptions.HistoryExpired(kind, revision))
+        number = revisions.number(revision)
+        path = f"{_PATH_PREFIX}/{kind}?watch={number}&waitMs={wait_ms}"
         timeout_s = wait_ms / 1000.0 + response_timeout_s
-        match await self._send_request("GET", path, timeout_s=timeout_s):
+        self._is_watching = True
+        try:
+            response = await self._send_request(
+                "GET", path, timeout_s=timeout_s
+            )
+        finally:
+            self._is_watching = False
+        match response:
             case result.Err(exceptions.Rejected(_, 410)):
                 return result.Err(exceptions.HistoryExpired(kind, revision))
             case result.Err(failure):
                 return result.Err(failure)
-            case result.Ok(body):
+            case result.Ok(received):
                 pass
+        if received.generation != generation:
+            # The store was restored, and the revision is another one there.
+            return result.Err(exceptions.HistoryExpired(kind, revision))
         try:
-            response = _EVENTS_DECODER.decode(body)
+            events = _EVENTS_DECODER.decode(received.body)
         except msgspec.MsgspecError as error:
             return result.Err(exceptions.Undecodable(kind, str(error)))
         changes: list[ObjectChange] = []
         undecodable = 0
-        for event in response.events:
-            stored_object = _decode_object(event.object)
+        for event in events.events:
+            stored_object = _decode_object(event.object, generation)
             if stored_object is None:
                 undecodable += 1
             else:
                 changes.append(ObjectChange(stored_object, event.removed))
-        return result.Ok(ObjectChanges(changes, response.as_of, undecodable))
+        return result.Ok(
+            ObjectChanges(
+                changes,
+                revisions.compose(generation, events.as_of),
+                undecodable,
+            )
+        )
 
     async def get(
         self, kind: str, name: str
@@ -252,12 +351,14 @@
         """Replaces an object that hasn't changed since `revision`.
 
         Returns:
-            The replaced object, `Conflict` if it has changed, or another
-            failure.
+            The replaced object, `Conflict` if it has changed or the store was
+            restored, or another failure.
         """
+        if revisions.generation(revision) < self._generation.current:
+            return await self._report_conflict(kind, name)
         body = b'{"meta":{"name":%s,"rev":%d},"spec":%s}' % (
             msgspec.json.encode(name),
-            revision,
+            revisions.number(revision),
             spec,
         )
         response = await self._send_request(
@@ -269,28 +370,53 @@
         self, kind: str, name: str, revision: int
     ) -> result.Result[None, exceptions.StoreFailure]:
         """Deletes an object that hasn't changed since `revision`."""
-        path = f"{_object_path(kind, name)}?rev={revision}"
+        number = revisions.number(revision)
+        path = f"{_object_path(kind, name)}?rev={number}"
         match await self._send_request("DELETE", path):
             case result.Err(failure):
                 return result.Err(failure)
             case result.Ok(_):
                 return result.Ok(None)
 
+    async def _report_conflict(
+        self, kind: str, name: str
+    ) -> result.Result[StoredObject, exceptions.StoreFailure]:
+        """Returns a conflict with the object as the restored store has it.
+
+        Its revision may have been given to another state of the object, so the
+        condition of a write would mean nothing.
+        """
+        match await self._send_request("GET", _object_path(kind, name)):
+            case result.Err(exceptions.Rejected(_, 404)):
+                return result.Err(exceptions.Missing(name))
+            case result.Err(failure):
+                return result.Err(failure)
+            case result.Ok(response):
+                return result.Err(
+                    exceptions.Conflict(
+                        name, response.body, response.generation
+                    )
+                )
+
     def _decode_object_response(
         self,
         name: str,
-        response: result.Result[bytes, exceptions.StoreFailure],
+        response: result.Result[_Response, exceptions.StoreFailure],
     ) -> result.Result[StoredObject, exceptions.StoreFailure]:
         match response:
             case result.Err(exceptions.Rejected(_, 404)):
                 return result.Err(exceptions.Missing(name))
             case result.Err(failure):
                 return result.Err(failure)
-            case result.Ok(body):
-                try:
-                    return result.Ok(_OBJECT_DECODER.decode(body))
-                except msgspec.MsgspecError as error:
-                    return result.Err(exceptions.Undecodable(name, str(error)))
+            case result.Ok(received):
+                stored = _decode_object(
+                    msgspec.Raw(received.body), received.generation
+                )
+                if stored is None:
+                    return result.Err(
+                        exceptions.Undecodable(name, "not a stored object")
+                    )
+                return result.Ok(stored)
 
     async def _send_request(
         self,
@@ -298,7 +424,7 @@
         path: str,
         body: bytes = b"",
         timeout_s: float = CALL_TIMEOUT_S,
-    ) -> result.Result[bytes, exceptions.StoreFailure]:
+    ) -> result.Result[_Response, exceptions.StoreFailure]:
         call = f"{method} {path.partition('?')[0]}"
         host, port = self._address.current
         head = f"{method} {path} HTTP/1.1\r\nhost: {host}:{port}\r\n"
@@ -325,12 +451,16 @@
             if not is_complete or not connection.is_reusable:
                 self.close()
         response_body = b"".join(parts)
+        generation = _decode_generation(response.headers)
+        self._generation.record(generation)
         if response.status == 409:
             name = path.partition("?")[0].rpartition("/")[2]
-            return result.Err(exceptions.Conflict(name, response_body))
+            return result.Err(
+                exceptions.Conflict(name, response_body, generation)
+            )
         if not 200 <= response.status < 300:
             return result.Err(exceptions.Rejected(call, response.status))
-        return result.Ok(response_body)
+        return result.Ok(_Response(response_body, generation))
 
     async def _ensure_connected(self, host: str, port: int) -> http.Connection:
         if self._connection is None or self._connection.is_closed:
@@ -353,15 +483,25 @@
     Returns:
         The object as the store has it, or None if it can't be decoded.
     """
-    return _decode_object(msgspec.Raw(failure.body))
+    return _decode_object(msgspec.Raw(failure.body), failure.generation)
 
 
-def _decode_object(raw: msgspec.Raw) -> StoredObject | None:
+def _decode_object(raw: msgspec.Raw, generation: int) -> StoredObject | None:
     with contextlib.suppress(msgspec.MsgspecError):
-        return _OBJECT_DECODER.decode(raw)
+        stored = _OBJECT_DECODER.decode(raw)
+        stored.meta.rev = revisions.compose(generation, stored.meta.rev)
+        return stored
     return None
 
 
+def _decode_generation(headers: Iterable[tuple[bytes, bytes]]) -> int:
+    """Returns the generation in the headers of a response; 0 if none."""
+    for name, value in headers:
+        if name == _GENERATION_HEADER and value.isdigit():
+            return min(int(value[:20]), _MAX_GENERATION)
+    return 0
+
+
 def _object_path(kind: str, name: str) -> str:
     return f"{_PATH_PREFIX}/{kind}/{urllib.parse.quote(name, safe='')}"
 
--- a/berylweir/standin/gateway_platform/store.py
+++ b/berylweir/standin/gateway_platform/store.py
@@ -39,11 +39,25 @@
     removed: bool
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class StoreCopy:
+    """A copy of a store.
+
+    Attributes:
+        revision: Revision up to which it is complete.
+        objects: All objects by kind and name.
+    """
+
+    revision: int
+    objects: dict[tuple[str, str], dict[str, Any]]
+
+
 class Store:
     """Objects with revisions, conditional writes and watches.
 
     Attributes:
         revision: Revision of the last change.
+        generation: Number that rises with each restoration, in all responses.
         calls: Method and path of each call.
         next_faults: Faults of the next calls, one for each.
         default_fault: Fault of each call once `next_faults` is empty.
@@ -57,6 +71,7 @@
         self._changed = asyncio.Condition()
         self._delayed_writes: list[http.Request] = []
         self.revision = 1
+        self.generation = 0
         self.calls: list[str] = []
         self.next_faults: list[Fault] = []
         self.default_fault: Fault | None = None
@@ -92,6 +107,22 @@
         async with self._changed:
             self._changed.notify_all()
 
+    def copy(self) -> "StoreCopy":
+        """Returns a copy of all objects, to be restored later."""
+        return StoreCopy(self.revision, dict(self._objects))
+
+    async def restore(self, copy: "StoreCopy") -> None:
+        """Returns to a copy; what was written since is lost.
+
+        Waiting watches are cut off.
+        """
+        self._objects = dict(copy.objects)
+        self.revision = copy.revision
+        self._events = [e for e in self._events if e.revision <= self.revision]
+        self.generation += 1
+        async with self._changed:
+            self._changed.notify_all()
+
     async def apply_late_writes(self) -> None:
         """Applies the writes that `Fault.APPLY_LATE` delayed, in order."""
         while self._delayed_writes:
@@ -121,7 +152,13 @@
                 return http.Response(0)
             case None:
                 pass
-        return await self._serve(request)
+        response = await self._serve(request)
+        if response.status == 0:
+            return response
+        return dataclasses.replace(
+            response,
+            headers={**response.headers, "Store-Era": str(self.generation)},
+        )
 
     async def _serve(self, request: http.Request) -> http.Response:
         if request.method != "GET":
@@ -147,8 +184,9 @@
 
     async def _watch(self, kind: str, query: dict[str, str]) -> http.Response:
         after = int(query["watch"])
-        if after < self._compacted_revision:
+        if after < self._compacted_revision or after > self.revision:
             return http.Response(410)
+        generation = self.generation
 
         def new_events() -> list[_Event]:
             return [
@@ -162,11 +200,12 @@
                         lambda: (
                             bool(new_events())
                             or after < self._compacted_revision
+                            or self.generation != generation
                         )
                     )
         except TimeoutError:
             pass
-        if after < self._compacted_revision:
+        if after < self._compacted_revision or self.generation != generation:
             return http.Response(0)
         events = [
             {"object": e.object, "removed": e.removed} for e in new_events()
--- /dev/null
+++ b/tests/gateway/test_restored_store.py
@@ -0,0 +1,61 @@
+"""Tests of gateways whose store comes back from an older copy."""
+
+import asyncio
+import time
+
+from berylweir.gateway.replication import upstreams
+from tests.gateway import rig as rigs
+
+# Time within which a new configuration must be in force, in seconds.
+_CONFIGURATION_TIMEOUT_S = 2.5
+
+
+async def has_route(gateway: rigs.Gateway, name: str) -> bool:
+    """Returns whether a gateway knows a route."""
+    reply = await gateway.ask(f"/{name}/1", f"{name}-{time.monotonic_ns()}")
+    return reply is not None and reply.status != 404
+
+
+async def wait_for_route(gateways: list[rigs.Gateway], name: str) -> None:
+    """Waits until a route is in force.
+
+    Raises:
+        TimeoutError: It is not in force at all gateways in time.
+    """
+    async with asyncio.timeout(_CONFIGURATION_TIMEOUT_S):
+        for gateway in gateways:
+            while not await has_route(gateway, name):
+                await asyncio.sleep(0.02)
+
+
+class TestRestoredStore:
+    """Configurations written before and after the store was restored."""
+
+    async def test_route_added_after_the_restoration_is_not_served(self):
+        """Guards against gateways that stay with the state of before.
+
+        The added route was answered with 404, and each watcher listed the
+        configuration again and again.
+        """
+        async with rigs.Rig() as rig:
+            await rig.configure({"g": False}, [rigs.route("r1", "g")], 1)
+            await rig.add_server("s1", "g")
+            gateways = [
+                await rig.add_gateway(f"vm-{n}")
+                for n in range(upstreams.WATCHER_COUNT + 2)
+            ]
+            copy = rig.store.copy()
+            for version in (2, 3):
+                await rig.configure(
+                    {"g": False}, [rigs.route(f"r{version}", "g")], version
+                )
+            await wait_for_route(gateways, "r3")
+            await rig.store.restore(copy)
+            calls_before = sum(len(c) for c in rig.store_calls.values())
+            await asyncio.sleep(1.0)
+            # No gateway goes back to the first version.
+            await wait_for_route(gateways, "r3")
+            await rig.configure({"g": False}, [rigs.route("r4", "g")], 4)
+            await wait_for_route(gateways, "r4")
+            calls = sum(len(c) for c in rig.store_calls.values()) - calls_before
+            assert calls <= 30 * len(gateways)
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -7,6 +7,7 @@
 import pytest
 import result
 
+from berylweir.gateway import revisions
 from berylweir.platform import exceptions
 from berylweir.platform import settings
 from berylweir.platform import store
@@ -126,3 +127,77 @@
         failure = (await client.create("k", "a", b"1")).err()
         assert isinstance(failure, exceptions.Rejected)
         assert fake_store.get("k", "a") is None
+
+
+class TestRestoredStore:
+    """A store that came back from a copy that is some seconds old."""
+
+    async def restore(self, fake_store: store_standin.Store) -> None:
+        """Writes two objects and restores the store without the second."""
+        await fake_store.put("k", "a", 1)
+        copy = fake_store.copy()
+        await fake_store.put("k", "b", 2)
+        await fake_store.restore(copy)
+
+    async def test_watch_from_a_revision_of_before_is_refused(
+        self, store_and_client
+    ):
+        """Guards against missing changes whose revisions were reused."""
+        fake_store, client = store_and_client
+        await self.restore(fake_store)
+        before = revisions.compose(fake_store.generation - 1, 3)
+        for number in range(5):
+            await fake_store.put("k", f"c{number}", number)
+        for _ in range(2):
+            failure = (await client.watch("k", before)).err()
+            assert failure == exceptions.HistoryExpired("k", before)
+        listing = (await client.list_all("k")).unwrap()
+        assert listing.revision > before
+        assert "b" not in {o.name for o in listing.objects}
+
+    async def test_waiting_watch_of_another_client_ends(self, store_and_client):
+        """Guards against a watch that waits for a revision of before."""
+        fake_store, client = store_and_client
+        generation = store.StoreGeneration()
+        address = client._address
+        first = store.StoreClient(address, generation)
+        second = store.StoreClient(address, generation)
+        await fake_store.put("k", "a", 1)
+        listing = (await first.list_all("k")).unwrap()
+        watch = asyncio.create_task(first.watch("k", listing.revision))
+        await asyncio.sleep(0.05)
+        fake_store.generation += 1
+        await second.list_all("k")
+        assert isinstance(
+            (await asyncio.wait_for(watch, 2.0)).err(), exceptions.Unreachable
+        )
+        assert isinstance(
+            (await first.watch("k", listing.revision)).err(),
+            exceptions.HistoryExpired,
+        )
+        second.close()
+        first.close()
+
+    async def test_condition_of_before_conflicts(self, store_and_client):
+        """Guards against a write over a state with the same revision."""
+        fake_store, client = store_and_client
+        created = (await client.create("k", "x", b"1")).unwrap()
+        copy = fake_store.copy()
+        written = (
+            await client.replace("k", "x", b"2", created.revision)
+        ).unwrap()
+        await fake_store.restore(copy)
+        # Another writer's state gets the revision that was given out before.
+        await fake_store.put("k", "x", 3)
+        assert fake_store.revision == revisions.number(written.revision)
+        await client.list_all("k")
+        conflict = (
+            await client.replace("k", "x", b"4", written.revision)
+        ).err()
+        assert isinstance(conflict, exceptions.Conflict)
+        current = store.decode_conflict(conflict)
+        assert bytes(current.spec) == b"3"
+        assert current.revision > written.revision
+        assert isinstance(
+            await client.replace("k", "x", b"4", current.revision), result.Ok
+        )
