Count a cancelled grant until it has expired

A key could have two owners for up to 2.6 s: a server that had released its keys applied a grant of them late, while the new owner held them.

Cause: when all keys of a server are moved away, the renewal of its grants is cancelled. A grant in flight at that moment was not recorded as one that the server may still apply, so the keys were granted to the new owner as soon as the release had been answered. Any grant whose answer is slow at the start of a move can do that, whatever delays it.

Measured: test_moved_keys_wait_for_a_grant_in_flight fails before (the new owner is granted the keys 0.03 s after the unanswered grant; 2.5 s needed).

--- a/berylweir/gateway/ownership/grant_expiry.py
+++ b/berylweir/gateway/ownership/grant_expiry.py
@@ -72,13 +72,17 @@
         self.expires_s = self._previous_expires_s
 
     def record_unanswered(self, now_s: float) -> None:
+        """Records that a response didn't come in time."""
+        self.consecutive_failures += 1
+        self.consecutive_timeouts += 1
+        self.record_abandoned(now_s)
+
+    def record_abandoned(self, now_s: float) -> None:
         """Records that the keeper stopped waiting for a response.
 
         Its connection is closed, so the grant arrived before `now_s` or will
         never arrive.
         """
-        self.consecutive_failures += 1
-        self.consecutive_timeouts += 1
         self.record_sent(now_s)
         self.unanswered_expires_s = max(
             self.unanswered_expires_s, self.expires_s
--- a/berylweir/gateway/ownership/granting.py
+++ b/berylweir/gateway/ownership/granting.py
@@ -299,17 +299,33 @@
                 return False
             key_range = pending[0]
             attempted.add((key_range.first, key_range.last, key_range.token))
-            expiry.record_sent(clock.boot_s())
-            outcome = await client.send(
+            outcome = await self._send_grant(client, instance, key_range, None)
+            if not self._handle_outcome(outcome, instance, key_range):
+                return False
+
+    async def _send_grant(
+        self,
+        client: grant_client.GrantClient,
+        instance: models.ServerInstance,
+        key_range: models.KeyRange,
+        handover: str | None,
+    ) -> grant_client.SendOutcome:
+        """Sends a grant and records when it expires."""
+        expiry = self._expiries.for_server(instance)
+        expiry.record_sent(clock.boot_s())
+        try:
+            return await client.send(
                 grants.Grant(
                     key_range.first,
                     key_range.last,
                     key_range.token,
                     self._grant_duration_ms,
+                    handover,
                 )
             )
-            if not self._handle_outcome(outcome, instance, key_range):
-                return False
+        except asyncio.CancelledError:
+            expiry.record_abandoned(clock.boot_s())
+            raise
 
     def _handle_outcome(
         self,
@@ -430,15 +446,8 @@
         if client is None or not self._may_act():
             return False
         async with self._lock(target):
-            self._expiries.for_server(target).record_sent(clock.boot_s())
-            outcome = await client.send(
-                grants.Grant(
-                    key_range.first,
-                    key_range.last,
-                    key_range.token,
-                    self._grant_duration_ms,
-                    handover,
-                )
+            outcome = await self._send_grant(
+                client, target, key_range, handover
             )
             return self._handle_outcome(outcome, target, key_range)
 
--- a/tests/gateway/ownership/test_granting.py
+++ b/tests/gateway/ownership/test_granting.py
@@ -98,6 +98,60 @@
         )
 
 
+class SlowServer(FakeServer):
+    """A server that applies grants without responding to them."""
+
+    def __init__(self) -> None:
+        super().__init__(range(0))
+        self.last_grant_s = float("-inf")
+
+    async def send(self, command: grants.Command) -> grant_client.SendOutcome:
+        """Accepts releases at once, and never responds to a grant."""
+        if isinstance(command, grants.Grant):
+            self.last_grant_s = clock.boot_s()
+            await asyncio.sleep(3600)
+        return grants.Accepted("warm")
+
+
+class TestCancelledGrants:
+    """Grants whose responses the keeper doesn't wait for any more."""
+
+    async def test_moved_keys_wait_for_a_grant_in_flight(self):
+        """Guards against a second owner that applies a cancelled grant late.
+
+        The renewal of an owner is cancelled when its last keys are moved.
+        """
+        source, target, _ = _INSTANCES
+        slow, fast = SlowServer(), FakeServer(range(0))
+        tables_by_group = {"g": tables.create("g", [source], 1)}
+        granter = granting.Granter(
+            tables_by_group.get,
+            lambda: True,
+            lambda: None,
+            lambda: None,
+            lambda: None,
+            counters.Counters(),
+        )
+        granter._clients.update({source: slow, target: fast})
+        granter.start_epoch(clock.boot_s())
+        granter.apply_table(tables_by_group["g"])
+        async with asyncio.timeout(10.0):
+            while slow.last_grant_s < 0:
+                await asyncio.sleep(0.01)
+        table = tables.start_moves(
+            tables_by_group["g"],
+            [ownership.Move(0, models.KEY_COUNT - 1, target)],
+        )
+        tables_by_group["g"] = dataclasses.replace(table, revision=2)
+        granter.apply_table(tables_by_group["g"])
+        async with asyncio.timeout(30.0):
+            while 0 not in fast.granted_s:
+                await asyncio.sleep(0.01)
+        granter.close()
+        waited_s = fast.granted_s[0] - slow.last_grant_s
+        assert waited_s >= grant_expiry.GRANT_DURATION_S
+
+
 class RecordingServer(FakeServer):
     """A server that rejects all grants and keeps them.
 
