Keep the lease, key tables and tokens when the store is restored

Cause: the restored store has an older lease and older key tables at newer revisions. Gateways and the lease holder took them for newer, with owners, epochs and the counter of tokens of before.

Change: leases are ordered by epoch, and key tables by the generation in which they were written, which their epoch states. The holder takes the lease again after a restoration and writes the newest tables that any gateway knows under the new epoch. Epochs and tokens of a generation are above all earlier ones.

--- a/berylweir/gateway/models.py
+++ b/berylweir/gateway/models.py
@@ -261,7 +261,8 @@
         holder: Name of the holder's VM; empty if the last holder resigned.
         incarnation: Id of the run of the gateway that holds the lease.
         epoch: Number of the lease; rises by one with each new holder.
-        revision: Revision of the store at which it was written.
+        revision: Revision of the store at which it was written, or read if the
+            store was restored in between.
     """
 
     holder: str
@@ -269,6 +270,15 @@
     epoch: int
     revision: int
 
+    @property
+    def order(self) -> tuple[int, int]:
+        """Key by which newer leases are higher.
+
+        The epoch comes first: a store that was restored from a copy may have an
+        older lease at a newer revision.
+        """
+        return self.epoch, self.revision
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Load:
--- a/berylweir/gateway/ownership/holder_check.py
+++ b/berylweir/gateway/ownership/holder_check.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from collections.abc import Mapping
+import dataclasses
 import random
 
 import result
@@ -19,6 +20,40 @@
 _ISOLATION_TIMEOUT_S = 3.0
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class GatewayStatuses:
+    """Status of the other gateways.
+
+    Attributes:
+        replies: The gateways that responded, with their status.
+        are_complete: Whether all of them responded.
+    """
+
+    replies: tuple[tuple[models.Vm, peers.GatewayStatus], ...]
+    are_complete: bool
+
+    def includes(self, vm: str, incarnation: str) -> bool:
+        """Returns whether a run of a gateway responded, or has ended.
+
+        Args:
+            vm: Name of the VM.
+            incarnation: Id of the run; another one on the VM has replaced it.
+        """
+        return any(
+            responded.name == vm and status.incarnation == incarnation
+            for responded, status in self.replies
+        )
+
+    def vms_by_table_revision(self) -> list[models.Vm]:
+        """Returns the gateways with the newest revision of any key table."""
+        newest: dict[str, tuple[int, models.Vm]] = {}
+        for vm, status in self.replies:
+            for name, revision in status.tables.items():
+                if name not in newest or revision > newest[name][0]:
+                    newest[name] = revision, vm
+        return list(dict.fromkeys(vm for _, vm in newest.values()))
+
+
 class HolderCheck:
     """Checks with the other gateways before and after a takeover."""
 
@@ -56,6 +91,19 @@
         Returns:
             Whether every other gateway responded that it isn't a holder.
         """
+        statuses = await self.collect_statuses(own_lease)
+        return statuses.are_complete and not any(
+            status.is_holder for _, status in statuses.replies
+        )
+
+    async def collect_statuses(
+        self, own_lease: models.Lease
+    ) -> "GatewayStatuses":
+        """Asks all other gateways to resign and returns their status.
+
+        Args:
+            own_lease: The lease that this gateway took.
+        """
         others = [
             vm for vm in self._vms.values() if vm.name != self._local_vm.name
         ]
@@ -65,12 +113,13 @@
                 for vm in others
             )
         )
-        return all(
-            isinstance(reply, result.Ok)
+        received = tuple(
+            (vm, reply.ok_value)
+            for vm, reply in zip(others, replies, strict=True)
+            if isinstance(reply, result.Ok)
             and isinstance(reply.ok_value, peers.GatewayStatus)
-            and not reply.ok_value.is_holder
-            for reply in replies
         )
+        return GatewayStatuses(received, len(received) == len(others))
 
     async def should_defer_takeover(self, lease: models.Lease) -> bool:
         """Returns whether the holder is probably alive, and this VM cut off.
--- a/berylweir/gateway/ownership/lease.py
+++ b/berylweir/gateway/ownership/lease.py
@@ -5,6 +5,7 @@
 """
 
 import asyncio
+from collections.abc import Awaitable
 from collections.abc import Callable
 from collections.abc import Mapping
 import dataclasses
@@ -15,6 +16,7 @@
 
 from berylweir.gateway import clock
 from berylweir.gateway import models
+from berylweir.gateway import revisions
 from berylweir.gateway.ownership import election
 from berylweir.gateway.ownership import grant_expiry
 from berylweir.gateway.ownership import holder_check
@@ -65,6 +67,7 @@
         collect_report: CollectReport,
         on_acquired: Callable[[models.Lease, float], None],
         on_predecessors_stopped: Callable[[], None],
+        on_newer_tables: Callable[[models.Vm], Awaitable[None]],
         on_lost: Callable[[], None],
         on_holder_status: Callable[[peers.GatewayStatus], None],
         is_store_up: Callable[[], bool],
@@ -82,6 +85,9 @@
                 holder may still grant keys.
             on_predecessors_stopped: Called when all earlier holders have
                 certainly stopped granting keys.
+            on_newer_tables: Called with a gateway that has newer key tables
+                than this one, before this one starts to act in a new generation
+                of the store.
             on_lost: Called when this gateway no longer holds the lease.
             on_holder_status: Called with the status in each response of the
                 holder.
@@ -96,6 +102,7 @@
         self._collect_report = collect_report
         self._on_acquired = on_acquired
         self._on_predecessors_stopped = on_predecessors_stopped
+        self._on_newer_tables = on_newer_tables
         self._on_lost = on_lost
         self._lease: models.Lease | None = None
         self._has_read_lease = False
@@ -113,9 +120,12 @@
         self._on_holder_status = on_holder_status
         # Epoch of its own for which this gateway has started to act.
         self._acting_epoch = 0
+        # Whether the store was restored from a copy without the lease.
+        self._is_lease_missing = False
         self._lease_changed_s = float("-inf")
         # Last epoch to whose holder this gateway has started to report.
         self._reported_epoch = 0
+        client.subscribe(self._state_changed.set)
 
     @property
     def epoch(self) -> int:
@@ -176,7 +186,7 @@
         self._has_read_lease = True
         current = self._lease
         if lease is not None and (
-            current is None or lease.revision > current.revision
+            current is None or lease.order > current.order
         ):
             was_holder = self.is_holder
             self._lease = lease
@@ -193,6 +203,13 @@
             )
             if was_holder and not self.is_holder:
                 self._on_lost()
+        elif (
+            lease is not None
+            and current is not None
+            and lease.revision > current.revision
+        ):
+            # The restored store has an older lease. The next write replaces it.
+            self._lease = dataclasses.replace(current, revision=lease.revision)
         self._state_changed.set()
 
     def handle_newer_epoch(self, epoch: int) -> None:
@@ -213,6 +230,8 @@
         while True:
             if not self._has_read_lease or self._is_resigning:
                 await self._wait_for_change(None)
+            elif self.is_holder and self._is_of_earlier_generation():
+                await self._write_own_lease()
             elif self.is_holder and self._acting_epoch != self.epoch:
                 await self._start_epoch()
             elif self.is_holder:
@@ -247,6 +266,14 @@
             and lease.incarnation == self._local_vm.incarnation
         )
 
+    def _is_of_earlier_generation(self) -> bool:
+        """Returns whether the store was restored since the lease was taken.
+
+        The store may have lost a later lease then, so that the lease must be
+        taken again.
+        """
+        return revisions.epoch_generation(self.epoch) < self._client.generation
+
     def _is_holder_lost(self) -> bool:
         """Returns whether the lease is free or its holder considered lost."""
         lease = self._lease
@@ -276,7 +303,10 @@
                 match objects.decode_gateway_object(stored):
                     case result.Ok(models.Lease() as lease):
                         self.update_lease(lease)
-                        if self._is_own(lease):
+                        if (
+                            self._is_own(lease)
+                            and not self._is_of_earlier_generation()
+                        ):
                             self._confirmed_s = read_started_s
                     case _:
                         self._metrics.count("lease.undecodable")
@@ -377,10 +407,17 @@
             self._failed_reports = 0
             await asyncio.sleep(election.DEPUTY_REPORT_INTERVAL_S)
             return
+        await self._write_own_lease()
+
+    async def _write_own_lease(self) -> None:
+        """Writes a new lease of this gateway over the one that it knows."""
+        lease = self._lease
         new_lease = models.Lease(
             self._local_vm.name,
             self._local_vm.incarnation,
-            (lease.epoch if lease else 0) + 1,
+            revisions.next_epoch(
+                lease.epoch if lease else 0, self._client.generation
+            ),
             0,
         )
         self._previous_lease = lease
@@ -390,11 +427,12 @@
             await self._client.create(
                 objects.GATEWAY_KIND, objects.LEASE_NAME, spec
             )
-            if lease is None
+            if lease is None or self._is_lease_missing
             else await self._client.replace(
                 objects.GATEWAY_KIND, objects.LEASE_NAME, spec, lease.revision
             )
         )
+        self._is_lease_missing = False
         match response:
             case result.Ok(stored):
                 self._confirmed_s = write_started_s
@@ -404,6 +442,8 @@
             case result.Err(exceptions.Conflict() as conflict):
                 self._handle_conflict(conflict)
                 await asyncio.sleep(_ACQUIRE_RETRY_S)
+            case result.Err(exceptions.Missing()):
+                self._is_lease_missing = True
             case result.Err(failure):
                 self._failed_reports = 0
                 self._is_replacing_holder = False
@@ -416,6 +456,8 @@
         own_lease, previous = self._lease, self._previous_lease
         if own_lease is None:
             return
+        if not await self._recover_tables(own_lease, previous):
+            return
         self._acting_epoch = own_lease.epoch
         predecessors_stop_s = clock.boot_s()
         if previous is not None:
@@ -436,6 +478,35 @@
             },
         )
 
+    async def _recover_tables(
+        self, own_lease: models.Lease, previous: models.Lease | None
+    ) -> bool:
+        """Gets the newest key tables after the store was restored.
+
+        The restored store may have lost changes of the tables, but the other
+        gateways know them. If the previous holder can't be asked, its last
+        grants expire first, since no gateway may know its last changes.
+
+        Args:
+            own_lease: The lease that this gateway has acquired.
+            previous: The lease before it, if any.
+
+        Returns:
+            Whether this gateway still holds the lease.
+        """
+        if previous is None or revisions.epoch_generation(
+            previous.epoch
+        ) == revisions.epoch_generation(own_lease.epoch):
+            return True
+        statuses = await self._holder_check.collect_statuses(own_lease)
+        for vm in statuses.vms_by_table_revision():
+            await self._on_newer_tables(vm)
+        if not self._is_own(previous) and not statuses.includes(
+            previous.holder, previous.incarnation
+        ):
+            await asyncio.sleep(grant_expiry.max_grant_lifetime_s())
+        return self._lease is own_lease
+
     def _handle_conflict(self, conflict: exceptions.Conflict) -> None:
         stored = store.decode_conflict(conflict)
         if stored is None:
--- a/berylweir/gateway/ownership/tables.py
+++ b/berylweir/gateway/ownership/tables.py
@@ -10,6 +10,7 @@
 import dataclasses
 
 from berylweir.gateway import models
+from berylweir.gateway import revisions
 from berylweir.gateway.ownership import models as ownership
 
 
@@ -23,15 +24,16 @@
         owners: Owners in the order of their ranges; at least one.
         epoch: Epoch of the lease under which the table is written.
     """
+    token = revisions.next_token(1, epoch)
     owner_count = len(owners)
     bounds = [
         models.KEY_COUNT * i // owner_count for i in range(owner_count + 1)
     ]
     ranges = tuple(
-        models.KeyRange(bounds[i], bounds[i + 1] - 1, owner, 1)
+        models.KeyRange(bounds[i], bounds[i + 1] - 1, owner, token)
         for i, owner in enumerate(owners)
     )
-    return models.KeyTable(group, 0, epoch, 2, ranges)
+    return models.KeyTable(group, 0, epoch, token + 1, ranges)
 
 
 def start_moves(
@@ -119,7 +121,7 @@
         table: The table as an earlier keeper left it.
         epoch: Epoch of the new keeper's lease.
     """
-    token = table.next_token
+    token = revisions.next_token(table.next_token, epoch)
     return dataclasses.replace(
         table,
         epoch=epoch,
--- a/berylweir/gateway/ownership/task.py
+++ b/berylweir/gateway/ownership/task.py
@@ -8,6 +8,7 @@
 from collections.abc import Callable
 from collections.abc import Mapping
 import contextlib
+import dataclasses
 import functools
 import logging
 from typing import Any
@@ -17,6 +18,7 @@
 from berylweir.gateway import clock
 from berylweir.gateway import messages
 from berylweir.gateway import models
+from berylweir.gateway import revisions
 from berylweir.gateway.dispatch import task as dispatch
 from berylweir.gateway.ownership import balance
 from berylweir.gateway.ownership import candidates
@@ -28,6 +30,7 @@
 from berylweir.gateway.ownership import tables
 from berylweir.gateway.peers import messages as peers
 from berylweir.gateway.peers import task as peer_task
+from berylweir.gateway.replication import codec
 from berylweir.observability import counters
 from berylweir.platform import exceptions
 from berylweir.platform import objects
@@ -98,12 +101,17 @@
         self._refresh_tables = refresh_tables
         self._client = client
         self._lease_client = lease_client
+        self._peer_client = peer_client
         self._inbox = inbox
         self._dispatcher = dispatcher
         self._metrics = metrics
         self._groups: Mapping[str, models.ServerGroup] = {}
         self._servers: Mapping[str, models.BackendServer] = {}
         self._tables: dict[str, models.KeyTable] = {}
+        # Revisions for the condition of the next write, if the store has a
+        # table at another one than that at which it was written; 0 if it has
+        # none.
+        self._stored_revisions: dict[str, int] = {}
         # Groups whose tokens this keeper has raised under its present lease.
         # The granter gets the tables of these groups only.
         self._groups_with_new_tokens: set[str] = set()
@@ -121,6 +129,7 @@
             collect_report=self._collect_report,
             on_acquired=self._on_lease_acquired,
             on_predecessors_stopped=self._on_predecessors_stopped,
+            on_newer_tables=self._fetch_tables,
             on_lost=self._on_lease_lost,
             on_holder_status=self._refresh_stale_tables,
             is_store_up=is_store_up,
@@ -228,6 +237,8 @@
         current = self._tables.get(table.group)
         if current is None or table.revision > current.revision:
             self._tables[table.group] = table
+            if self._stored_revisions.get(table.group, 0) < table.revision:
+                self._stored_revisions[table.group] = table.revision
             if self._lease.is_holder and table.epoch > self._lease.epoch:
                 # Another keeper has taken over, and this one hasn't read its
                 # lease yet.
@@ -276,6 +287,25 @@
         self._granter.start_epoch(predecessors_stop_s)
         self._state_changed.set()
 
+    async def _fetch_tables(self, vm: models.Vm) -> None:
+        """Reads the key tables of another gateway."""
+        match await self._peer_client.ask(
+            vm, peers.GetObjects(objects.KEY_TABLES_KIND)
+        ):
+            case result.Ok(peers.ObjectsSnapshot() as snapshot):
+                stored_objects = codec.decode_objects(snapshot.objects)
+                self._update_local_tables(stored_objects)
+                for stored in stored_objects:
+                    match objects.decode_table(stored):
+                        case result.Ok(table):
+                            self._update_table(table)
+                        case result.Err(failure):
+                            _LOGGER.error(
+                                "table unreadable", extra={"failure": failure}
+                            )
+            case _:
+                _LOGGER.warning("tables not fetched", extra={"vm": vm.name})
+
     def _on_predecessors_stopped(self) -> None:
         self._granter.confirm_predecessors_stopped()
 
@@ -420,18 +450,25 @@
     async def _write_table(self, table: models.KeyTable) -> bool:
         """Writes a table; returns whether the store accepted it."""
         name = table.group
+        if revisions.epoch_generation(table.epoch) < self._client.generation:
+            # The lease must be taken again in the restored store first.
+            return False
         spec = objects.encode_table(table)
-        if table.revision == 0:
+        revision = self._stored_revisions.get(name, table.revision)
+        if revision == 0:
             response = await self._client.create(
                 objects.KEY_TABLES_KIND, name, spec
             )
         else:
             response = await self._client.replace(
-                objects.KEY_TABLES_KIND, name, spec, table.revision
+                objects.KEY_TABLES_KIND, name, spec, revision
             )
         match response:
             case result.Ok(stored):
                 return self._accept_stored_table(stored)
+            case result.Err(exceptions.Missing()):
+                # The store was restored from a copy without the table.
+                self._stored_revisions[name] = 0
             case result.Err(exceptions.Conflict() as conflict):
                 # Another keeper has written the table, or an earlier write of
                 # this keeper took effect although it got no response.
@@ -455,11 +492,21 @@
             Whether the object could be decoded.
         """
         match objects.decode_table(stored):
-            case result.Ok(table):
+            case result.Ok(decoded):
+                self._stored_revisions[decoded.group] = stored.revision
+                ordered = objects.order_by_writing(stored, decoded)
+                table = dataclasses.replace(decoded, revision=ordered.revision)
                 previous = self._tables.get(table.group)
+                if previous is not None and table.revision < previous.revision:
+                    # The store was restored from a copy with an older table.
+                    # The next write replaces it.
+                    self._metrics.count("tables.restored")
+                    return False
+                if previous is not None and table.revision == previous.revision:
+                    return True
                 self._update_table(table)
-                self._update_local_tables([stored])
-                self._publisher.publish(previous, table, stored)
+                self._update_local_tables([ordered])
+                self._publisher.publish(previous, table, ordered)
                 return True
             case result.Err(failure):
                 self._metrics.count("tables.undecodable")
--- a/berylweir/gateway/replication/table_reader.py
+++ b/berylweir/gateway/replication/table_reader.py
@@ -79,7 +79,7 @@
             return
         match await self._client.list_all(objects.KEY_TABLES_KIND):
             case result.Ok(listing):
-                self._publish(listing.objects)
+                self._publish(objects.order_tables(listing.objects))
             case result.Err(failure):
                 self._metrics.count("store.failed.tables")
                 _LOGGER.warning("tables not read", extra={"failure": failure})
--- a/berylweir/gateway/store_cache.py
+++ b/berylweir/gateway/store_cache.py
@@ -48,7 +48,8 @@
         self._key_table_objects: dict[str, store.StoredObject] = {}
         self._key_tables: dict[str, models.KeyTable] = {}
         self._vms: dict[str, models.Vm] = {}
-        self._lease_revision = -1
+        self._has_announced_lease = False
+        self._lease: models.Lease | None = None
 
     def update_configuration(
         self, stored_objects: list[store.StoredObject]
@@ -148,9 +149,17 @@
         if vms != self._vms:
             self._vms = vms
             self._notify(messages.VmsChanged(vms))
-        revision = lease.revision if lease else 0
-        if revision > self._lease_revision:
-            self._lease_revision = revision
+        self._apply_lease(lease)
+
+    def _apply_lease(self, lease: models.Lease | None) -> None:
+        """Announces the lease if it is newer, or that there is none yet."""
+        if lease is None:
+            is_newer = not self._has_announced_lease
+        else:
+            is_newer = self._lease is None or lease.order > self._lease.order
+        if is_newer:
+            self._has_announced_lease = True
+            self._lease = lease
             self._notify(messages.LeaseChanged(lease))
 
     def update_key_tables(
--- a/berylweir/platform/objects.py
+++ b/berylweir/platform/objects.py
@@ -4,10 +4,13 @@
 models have the gateway's own names.
 """
 
+from collections.abc import Iterable
+
 import msgspec
 import result
 
 from berylweir.gateway import models
+from berylweir.gateway import revisions
 from berylweir.platform import exceptions
 from berylweir.platform import store
 
@@ -283,6 +286,43 @@
     )
 
 
+def order_by_writing(
+    stored: store.StoredObject, table: models.KeyTable
+) -> store.StoredObject:
+    """Returns a key table's object with the revision at which it was written.
+
+    A restored store has objects of an earlier generation, which may be older
+    than the known ones. The epoch of the table tells its generation.
+
+    Args:
+        stored: The object as the store has it.
+        table: The decoded object.
+    """
+    generation = revisions.epoch_generation(table.epoch)
+    number = revisions.number(stored.revision)
+    return store.build_stored_object(
+        stored.name,
+        revisions.compose(generation, number),
+        stored.spec,
+        stored.status,
+    )
+
+
+def order_tables(
+    stored_objects: Iterable[store.StoredObject],
+) -> list[store.StoredObject]:
+    """Returns key tables with the revisions at which they were written.
+
+    Undecodable ones are returned as they are.
+    """
+    return [
+        order_by_writing(stored, decoded.ok_value)
+        if isinstance(decoded := decode_table(stored), result.Ok)
+        else stored
+        for stored in stored_objects
+    ]
+
+
 def _decode_range(raw: _RangeSpec) -> models.KeyRange:
     return models.KeyRange(
         raw.first,
--- a/berylweir/platform/store.py
+++ b/berylweir/platform/store.py
@@ -207,6 +207,10 @@
             self._connection.close()
             self._connection = None
 
+    def subscribe(self, listener: Callable[[], None]) -> None:
+        """Has a function called after each restoration of the store."""
+        self._generation.subscribe(listener)
+
     def _on_store_restored(self) -> None:
         if self._is_watching:
             # The watch waits for revisions that the store gives out again.
--- a/tests/gateway/ownership/test_lease.py
+++ b/tests/gateway/ownership/test_lease.py
@@ -26,6 +26,10 @@
     return models.Vm(name, f"run-{name}", "127.0.0.1", 1, "a")
 
 
+async def ignore_tables(_: models.Vm) -> None:
+    """Ignores that another gateway has newer key tables."""
+
+
 class PeerGateways:
     """Client for the other gateways, of which one holds the lease."""
 
@@ -80,6 +84,7 @@
                 collect_report=build_report,
                 on_acquired=lambda lease, predecessors_stop_s: None,
                 on_predecessors_stopped=lambda: None,
+                on_newer_tables=ignore_tables,
                 on_lost=lambda: None,
                 on_holder_status=lambda status: None,
                 is_store_up=lambda: True,
--- a/tests/gateway/test_owner_history.py
+++ b/tests/gateway/test_owner_history.py
@@ -82,12 +82,52 @@
                 pass
 
 
+async def restore_store(deployment: rig.Rig, rng: random.Random) -> None:
+    """Restores the store from copies that are some seconds old.
+
+    Servers and configuration are written again, as by their own writers. Begins
+    once the keys have owners.
+    """
+    await rig.until(
+        lambda: all(
+            any(s.holds(key) for s in deployment.servers.values())
+            for key in _KEYS
+        )
+    )
+    while True:
+        copy = deployment.store.copy()
+        await asyncio.sleep(rng.uniform(1.0, 5.0))
+        deployment.store.default_fault = store_standin.Fault.RESET
+        await asyncio.sleep(rng.uniform(0.0, 1.0))
+        current = deployment.store.copy()
+        await deployment.store.restore(copy)
+        deployment.store.default_fault = None
+        await asyncio.sleep(rng.uniform(0.0, 0.5))
+        for (kind, name), stored in current.objects.items():
+            if kind in ("servers", "config"):
+                await deployment.store.put(kind, name, stored["spec"])
+
+
 class TestOwnerHistory:
     """Exclusive ownership despite lost, late and repeated calls."""
 
     @pytest.mark.parametrize("seed", [1, 2, 3])
     async def test_no_key_has_two_owners(self, seed):
         """Guards against two servers that run requests for the same key."""
+        await self.run_history(seed, inject_faults)
+
+    @pytest.mark.parametrize("seed", [3, 4])
+    async def test_no_key_has_two_owners_when_the_store_is_restored(self, seed):
+        """Guards against owners and tokens taken from an older key table."""
+        await self.run_history(seed, inject_faults, restore_store)
+
+    async def run_history(self, seed: int, *injections) -> None:
+        """Runs a deployment under faults and checks the owners of its keys.
+
+        Args:
+            seed: Seed of the faults.
+            injections: Functions that inject faults until they are cancelled.
+        """
         rng = random.Random(seed)
         async with rig.Rig() as deployment:
             await deployment.configure(
@@ -102,7 +142,10 @@
             monitor = OwnershipMonitor(deployment)
             tasks = [
                 asyncio.create_task(monitor.run()),
-                asyncio.create_task(inject_faults(deployment, rng)),
+                *(
+                    asyncio.create_task(inject(deployment, rng))
+                    for inject in injections
+                ),
             ]
             await asyncio.sleep(_RUN_DURATION_S)
             for task in tasks:
--- a/tests/gateway/test_restored_store.py
+++ b/tests/gateway/test_restored_store.py
@@ -59,3 +59,36 @@
             await wait_for_route(gateways, "r4")
             calls = sum(len(c) for c in rig.store_calls.values()) - calls_before
             assert calls <= 30 * len(gateways)
+
+
+class TestLease:
+    """The lease and the key tables after a restoration."""
+
+    async def test_lease_that_the_store_lost_is_taken_again(self):
+        """Guards against epochs and tokens that are given out twice."""
+        async with rigs.Rig() as rig:
+            await rig.configure({"slots": True}, [rigs.route("k", "slots")], 1)
+            server = await rig.add_server("s1", "slots", is_keyed=True)
+            copy = rig.store.copy()
+            await rig.add_gateway("vm-1")
+            await rigs.until(lambda: server.holds(7))
+            lost_lease = rig.store.get("berylweir", "lease")["spec"]
+            lost_table = rig.store.get("berylweir-keys", "slots")["spec"]
+            await rig.store.restore(copy)
+
+            def is_written_again() -> bool:
+                lease = rig.store.get("berylweir", "lease")
+                table = rig.store.get("berylweir-keys", "slots")
+                return (
+                    lease is not None
+                    and table is not None
+                    and table["spec"]["epoch"] == lease["spec"]["epoch"]
+                )
+
+            await rigs.until(is_written_again)
+            lease = rig.store.get("berylweir", "lease")["spec"]
+            table = rig.store.get("berylweir-keys", "slots")["spec"]
+            assert lease["holder"] == lost_lease["holder"]
+            assert lease["epoch"] > lost_lease["epoch"]
+            assert table["next_token"] > lost_table["next_token"]
+            assert server.holds(7)
