Keep a server draining once its instance has been

Cause: the entry of a leaving server in a store that is restored from a copy may be one of before it began to leave. The gateways took it for ready, and sent requests to it until it had written its entry again or was gone.

Change: an instance that has been draining stays so, whatever its entry says; a new instance under the same id starts anew.

--- a/berylweir/gateway/store_cache.py
+++ b/berylweir/gateway/store_cache.py
@@ -3,6 +3,7 @@
 from collections.abc import Callable
 from collections.abc import Mapping
 from collections.abc import Sequence
+import dataclasses
 import logging
 
 import msgspec
@@ -102,7 +103,8 @@
                 servers[stored.name] = cached
                 continue
             match objects.decode_server(stored):
-                case result.Ok(server):
+                case result.Ok(decoded):
+                    server = _keep_draining(cached, decoded)
                     servers[stored.name] = server
                     self._log_server_change(cached, server)
                 case result.Err(failure):
@@ -281,3 +283,19 @@
                 "failure": failure,
             },
         )
+
+
+def _keep_draining(
+    known: models.BackendServer | None, server: models.BackendServer
+) -> models.BackendServer:
+    """Returns a server that stays draining once its instance has been.
+
+    The entry in a store that was restored from a copy may be older.
+    """
+    if (
+        known is not None
+        and known.is_draining
+        and known.instance == server.instance
+    ):
+        return dataclasses.replace(server, is_draining=True)
+    return server
--- a/tests/gateway/test_store_cache.py
+++ b/tests/gateway/test_store_cache.py
@@ -67,3 +67,23 @@
                 [stored("main", number + 1, {**spec, "cfgVer": version})]
             )
         assert harness.versions == []
+
+
+class TestServers:
+    """Backend servers by the entries in the store."""
+
+    def announced(self, harness: CacheHarness) -> dict[str, bool]:
+        """Returns whether each server of the last message is draining."""
+        (*_, message) = harness.messages
+        return {n: s.is_draining for n, s in message.servers.items()}
+
+    def test_draining_server_is_not_used_again(self):
+        """Guards against a leaving server whose older entry is restored."""
+        harness = CacheHarness()
+        for revision, state in enumerate(("ready", "draining", "ready"), 1):
+            spec = server_standin.server_spec("s", "g", 80, state=state)
+            harness.cache.update_servers([stored("s", revision, spec)])
+        assert self.announced(harness) == {"s": True}
+        restarted = server_standin.server_spec("s", "g", 80, born_ms=2)
+        harness.cache.update_servers([stored("s", 4, restarted)])
+        assert self.announced(harness) == {"s": False}
