Bridge what others write again after the store was restored

Cause: what servers and the operator wrote since the copy was made is missing in the restored store until they write it again, and what they removed is back. Servers that had just joined were not used, zones that had just been evacuated were, and servers that had left were sent requests until their entries expired again.

Change: for entries of servers and evacuations, objects that a restoration has lost are kept for as long as after an outage. Objects that had been removed and are back unchanged count only once they are written, or if they are still there after the time in which an entry without heartbeats expires.

Measured: three new tests of KindState; they need the new option, so before the change they fail on it.

--- a/berylweir/gateway/replication/task.py
+++ b/berylweir/gateway/replication/task.py
@@ -65,6 +65,7 @@
         metrics: counters.Counters,
         *,
         keeps_expired: bool = False,
+        keeps_lost: bool = False,
         timing: WatchTiming = WatchTiming(),
     ) -> None:
         """Creates an empty replica that doesn't watch the store yet.
@@ -78,6 +79,9 @@
             metrics: Counters.
             keeps_expired: Whether to keep objects that are missing after an
                 outage; for kinds whose objects expire unless renewed.
+            keeps_lost: Whether to keep objects that are missing after a
+                restoration of the store; for kinds whose writers write them
+                again.
             timing: Delays and timeouts of the watch.
         """
         self._kind = kind
@@ -86,7 +90,9 @@
         self._on_change = on_change
         self._metrics = metrics
         self._timing = timing
-        self._state = state.KindState(keeps_expired=keeps_expired)
+        self._state = state.KindState(
+            keeps_expired=keeps_expired, keeps_lost=keeps_lost
+        )
         self._change_log = change_log.ChangeLog()
         self._inbox: Inbox = mailbox.Mailbox(f"follower.{kind}", 1000)
         self._mode: messages.ReplicaMode = messages.FollowPeers()
--- a/berylweir/gateway/supervisor.py
+++ b/berylweir/gateway/supervisor.py
@@ -239,6 +239,7 @@
             on_change,
             metrics,
             keeps_expired=kind == objects.SERVERS_KIND,
+            keeps_lost=kind in (objects.SERVERS_KIND, objects.EVACUATIONS_KIND),
             timing=_WATCH_TIMINGS.get(kind, replication.WatchTiming()),
         )
         for kind, publish in publishers.items()
--- a/tests/gateway/test_replication.py
+++ b/tests/gateway/test_replication.py
@@ -8,6 +8,7 @@
 import pytest
 
 from berylweir.gateway import models
+from berylweir.gateway import revisions
 from berylweir.gateway.peers import messages as peers
 from berylweir.gateway.replication import change_log
 from berylweir.gateway.replication import codec
@@ -73,6 +74,51 @@
         assert not kind_state.replace([stored("a", 3), stored("b", 2)], 4, 1.0)
         assert names(kind_state) == {"a"}
 
+    def test_objects_lost_in_a_restoration_are_kept_until_written_again(self):
+        """Guards against refusals and evacuated zones that are used again."""
+        kind_state = state.KindState(keeps_expired=False, keeps_lost=True)
+        kind_state.replace([stored("a", 1), stored("b", 9)], 9, 0.0)
+        kind_state.replace([stored("a", 1)], revisions.compose(1, 5), 10.0)
+        assert names(kind_state) == {"a", "b"}
+        assert not kind_state.expire(12.4)
+        assert kind_state.expire(12.6)
+        assert names(kind_state) == {"a"}
+
+    def test_removed_object_in_a_copy_does_not_count(self):
+        """Guards against requests to a server that had left.
+
+        The copy still has its entry, which expires after some heartbeats.
+        """
+        kind_state = state.KindState(keeps_expired=True, keeps_lost=True)
+        kind_state.replace([stored("a", 1), stored("b", 2)], 2, 0.0)
+        for name in "ab":
+            kind_state.apply_change(stored(name, 3), 1.0, is_removed=True)
+        restored = [
+            stored(name, revisions.compose(1, 2)) for name in ("a", "b", "c")
+        ]
+        kind_state.replace(restored, revisions.compose(1, 2), 5.0)
+        assert names(kind_state) == {"c"}
+        # One is alive and writes its entry, the other one's entry expires.
+        written = stored("a", revisions.compose(1, 4))
+        kind_state.apply_change(written, 6.0, is_removed=False)
+        assert names(kind_state) == {"a", "c"}
+        expired = stored("b", revisions.compose(1, 5))
+        kind_state.apply_change(expired, 7.0, is_removed=True)
+        assert not kind_state.expire(20.0)
+        assert names(kind_state) == {"a", "c"}
+
+    def test_object_that_stays_in_a_restored_store_counts_in_the_end(self):
+        """Guards against a live server that is never used again."""
+        kind_state = state.KindState(keeps_expired=True, keeps_lost=True)
+        kind_state.replace([stored("a", 1)], 1, 0.0)
+        kind_state.apply_change(stored("a", 2), 1.0, is_removed=True)
+        restored = stored("a", revisions.compose(1, 1))
+        kind_state.replace([restored], revisions.compose(1, 1), 5.0)
+        due_s = kind_state.next_expiry_s()
+        assert due_s is not None
+        assert kind_state.expire(due_s)
+        assert names(kind_state) == {"a"}
+
     def test_an_older_change_is_ignored(self):
         """Guards against a return to an older configuration."""
         kind_state = state.KindState(keeps_expired=False)
