Register a gateway again that the restored store has lost

Cause: a gateway wrote its object once per run. If it had started within the seconds that a restoration of the store loses, the other gateways no longer knew it: it was not asked for changes, got no key tables, and couldn't be found as the holder of the lease.

Change: a gateway that was among the registered ones and isn't any more writes its object again.

Measured: test_gateway_that_the_store_lost_registers_again fails before (TimeoutError). Tests of restored stores and of the relay pass.

--- a/berylweir/gateway/supervisor.py
+++ b/berylweir/gateway/supervisor.py
@@ -98,6 +98,7 @@
     )
     subscribers.append(reader.on_store_update)
     registration_task = registration.Registration(local_vm, create_client())
+    subscribers.append(registration_task.on_store_update)
     replicas: dict[str, replication.Replica] = {}
     feed = change_feed.ChangeFeed(replicas)
     replication_coordinator = coordinator.ReplicationCoordinator(
--- a/tests/gateway/test_restored_store.py
+++ b/tests/gateway/test_restored_store.py
@@ -92,3 +92,26 @@
             assert lease["epoch"] > lost_lease["epoch"]
             assert table["next_token"] > lost_table["next_token"]
             assert server.holds(7)
+
+
+class TestRegistration:
+    """The objects of the gateways after a restoration."""
+
+    async def test_gateway_that_the_store_lost_registers_again(self):
+        """Guards against a gateway that the others don't know any more."""
+        async with rigs.Rig() as rig:
+            await rig.configure({"g": False}, [rigs.route("r1", "g")], 1)
+            await rig.add_server("s1", "g")
+            await rig.add_gateway("vm-1")
+            copy = rig.store.copy()
+            await rig.add_gateway("vm-2")
+            lost = rig.store.get("berylweir", "vm.vm-2")["spec"]
+            await rig.store.restore(copy)
+
+            def is_registered() -> bool:
+                stored = rig.store.get("berylweir", "vm.vm-2")
+                return stored is not None and stored["spec"] == lost
+
+            await rigs.until(is_registered)
+            calls = [c for c in rig.store_calls["vm-2"] if "POST" in c]
+            assert len(calls) <= 3
