Read on past odd entries of other writers

Callers were refused by all gateways, since a single entry among those of the servers ended the reading of all of them: a gateway that starts never becomes ready, and one that runs hears of no change any more.

Cause: the JSON decoder is recursive and raises RecursionError, which is no error of the decoder's own, for the whole listing or watch. The reading task ended, was restarted and ended again. Besides, ports out of range and numbers that are far too large were taken, and raised errors where they were used (connecting, encoding for other gateways).

Change: items that are nested too deeply are dropped, and counted like other undecodable ones. Ports, addresses, slots, start and warm-up times and revisions are checked for their range when an entry is decoded.

--- a/berylweir/gateway/revisions.py
+++ b/berylweir/gateway/revisions.py
@@ -10,6 +10,8 @@
 
 # Numbers of one generation.
 _REVISIONS_PER_GENERATION = 1 << 40
+# Highest number of a revision in the store.
+MAX_NUMBER = _REVISIONS_PER_GENERATION - 1
 _EPOCHS_PER_GENERATION = 1 << 20
 _TOKENS_PER_GENERATION = 1 << 32
 
--- /dev/null
+++ b/berylweir/platform/nesting.py
@@ -0,0 +1,46 @@
+"""Protects the decoding of JSON from values that are nested too deeply.
+
+The decoder is recursive, and raises `RecursionError` for all of a document if
+one value in it exceeds the interpreter's limit.
+"""
+
+import re
+
+import msgspec
+
+# Errors of the decoder that a document from another writer may cause.
+DECODE_ERRORS = (msgspec.MsgspecError, RecursionError)
+# Depth within an item above which it is dropped. Known ones have less than 10.
+_MAX_DEPTH = 100
+_TOKENS = re.compile(rb'"(?:[^"\\]|\\.)*"|[\[\]{}]', re.DOTALL)
+
+
+def drop_deep_items(document: bytes, depth: int) -> bytes:
+    """Replaces items that are nested too deeply by `null`.
+
+    Args:
+        document: JSON document.
+        depth: Number of arrays and objects around each item.
+    """
+    parts: list[bytes] = []
+    copied_to = 0
+    current_depth = 0
+    item_start = 0
+    deepest = 0
+    for token in _TOKENS.finditer(document):
+        match token[0]:
+            case b"[" | b"{":
+                if current_depth == depth:
+                    item_start = token.start()
+                    deepest = depth
+                current_depth += 1
+                deepest = max(deepest, current_depth)
+            case b"]" | b"}":
+                current_depth -= 1
+                if current_depth == depth and deepest - depth > _MAX_DEPTH:
+                    parts += (document[copied_to:item_start], b"null")
+                    copied_to = token.end()
+            case _:
+                pass  # A string may contain brackets.
+    parts.append(document[copied_to:])
+    return b"".join(parts)
--- a/berylweir/platform/objects.py
+++ b/berylweir/platform/objects.py
@@ -5,6 +5,8 @@
 """
 
 from collections.abc import Iterable
+import ipaddress
+from typing import Annotated
 
 import msgspec
 import result
@@ -12,6 +14,7 @@
 from berylweir.gateway import models
 from berylweir.gateway import revisions
 from berylweir.platform import exceptions
+from berylweir.platform import nesting
 from berylweir.platform import store
 
 CONFIGURATION_KIND = "config"
@@ -22,6 +25,15 @@
 KEY_TABLES_KIND = "berylweir-keys"
 
 
+# Highest number of a JSON integer that all writers represent exactly.
+_MAX_INTEGER = 2**53
+_MAX_PORT = 65_535
+# Highest number of slots of a server that is taken for possible.
+_MAX_SLOTS = 100_000
+# Longest warm-up time of a server that is taken for possible, in ms.
+_MAX_COLD_MS = 3_600_000.0
+
+
 class _SplitPart(msgspec.Struct):
     # Relative weight of the traffic that the server group gets.
     backend: str
@@ -74,13 +86,13 @@
     # the gateway doesn't use.
     backend: str
     zone: str
-    max_concurrency: int
+    max_concurrency: Annotated[int, msgspec.Meta(ge=1, le=_MAX_SLOTS)]
 
 
 class _ServerStatus(msgspec.Struct, rename="camel"):
     # Either `ready` or `draining`.
     state: str
-    warmup_left_ms: float = 0.0
+    warmup_left_ms: Annotated[float, msgspec.Meta(le=_MAX_COLD_MS)] = 0.0
 
 
 class _ServerEntry(msgspec.Struct):
@@ -88,7 +100,7 @@
     addr: str
     info: _ServerInfo
     # Unix time of the server's start, in milliseconds.
-    born: int = 0
+    born: Annotated[int, msgspec.Meta(ge=0, le=_MAX_INTEGER)] = 0
     status: _ServerStatus | None = None
 
 
@@ -104,7 +116,7 @@
     try:
         raw = _CONFIGURATION_DECODER.decode(stored.spec)
         int(raw.cfg_ver, 16)
-    except (msgspec.MsgspecError, ValueError) as error:
+    except (*nesting.DECODE_ERRORS, ValueError) as error:
         return result.Err(exceptions.Undecodable(stored.name, str(error)))
     return result.Ok(
         models.Configuration(
@@ -174,14 +186,14 @@
                 f"server state {status.state!r} is neither 'ready' nor"
                 " 'draining'"
             )
-        host, _, port = raw.addr.rpartition(":")
+        host, port = _decode_address(raw.addr)
         return result.Ok(
             models.BackendServer(
                 name=stored.name,
                 born_ms=raw.born,
                 group=raw.info.backend,
                 host=host,
-                port=int(port),
+                port=port,
                 availability_zone=raw.info.zone,
                 slots=raw.info.max_concurrency,
                 is_draining=status.state == "draining",
@@ -189,10 +201,23 @@
                 revision=stored.revision,
             )
         )
-    except (msgspec.MsgspecError, ValueError) as error:
+    except (*nesting.DECODE_ERRORS, ValueError) as error:
         return result.Err(exceptions.Undecodable(stored.name, str(error)))
 
 
+def _decode_address(address: str) -> tuple[str, int]:
+    """Returns host and port of `host:port`.
+
+    Raises:
+        ValueError: The host is no IPv4 address, or the port is out of range.
+    """
+    host, _, text = address.rpartition(":")
+    port = int(text) if text.isascii() and text.isdigit() else 0
+    if not 0 < port <= _MAX_PORT:
+        raise ValueError(f"port {text[:20]!r} is not between 1 and {_MAX_PORT}")
+    return str(ipaddress.IPv4Address(host)), port
+
+
 class _VmSpec(msgspec.Struct):
     incarnation: str
     host: str
@@ -252,7 +277,7 @@
                 )
             )
         vm = msgspec.json.decode(stored.spec, type=_VmSpec)
-    except msgspec.MsgspecError as error:
+    except nesting.DECODE_ERRORS as error:
         return result.Err(exceptions.Undecodable(stored.name, str(error)))
     return result.Ok(
         models.Vm(
@@ -273,7 +298,7 @@
     """Decodes a key table, or returns `Undecodable`."""
     try:
         table = msgspec.json.decode(stored.spec, type=_TableSpec)
-    except msgspec.MsgspecError as error:
+    except nesting.DECODE_ERRORS as error:
         return result.Err(exceptions.Undecodable(stored.name, str(error)))
     return result.Ok(
         models.KeyTable(
--- a/berylweir/platform/store.py
+++ b/berylweir/platform/store.py
@@ -6,6 +6,8 @@
 import contextlib
 import dataclasses
 import logging
+from typing import Annotated
+from typing import TypeVar
 import urllib.parse
 
 import msgspec
@@ -13,6 +15,7 @@
 
 from berylweir.gateway import revisions
 from berylweir.platform import exceptions
+from berylweir.platform import nesting
 from berylweir.platform import settings
 from berylweir.router.backends import connection as http
 from berylweir.router.backends import exceptions as http_exceptions
@@ -29,11 +32,12 @@
 # restoration.
 _MAX_GENERATION = 1_000_000
 _LOGGER = logging.getLogger(__name__)
+_T = TypeVar("_T")
 
 
 class _Meta(msgspec.Struct):
     name: str
-    rev: int
+    rev: Annotated[int, msgspec.Meta(ge=0, le=revisions.MAX_NUMBER)]
 
 
 class StoredObject(msgspec.Struct):
@@ -72,7 +76,7 @@
 
 
 class _Events(msgspec.Struct, rename="camel"):
-    events: list[_Event]
+    events: list[msgspec.Raw]
     as_of: int
 
 
@@ -120,7 +124,10 @@
 
 _OBJECT_DECODER = msgspec.json.Decoder(StoredObject)
 _PAGE_DECODER = msgspec.json.Decoder(_Page)
+_EVENT_DECODER = msgspec.json.Decoder(_Event)
 _EVENTS_DECODER = msgspec.json.Decoder(_Events)
+# Number of arrays and objects around the items of a page and around events.
+_ITEM_DEPTH = 2
 
 
 class StoreGeneration:
@@ -238,7 +245,7 @@
                 case result.Ok(response):
                     pass
             try:
-                page = _PAGE_DECODER.decode(response.body)
+                page = _decode_items(_PAGE_DECODER, response.body)
             except msgspec.MsgspecError as error:
                 return result.Err(exceptions.Undecodable(kind, str(error)))
             for raw in page.items:
@@ -299,17 +306,17 @@
             # The store was restored, and the revision is another one there.
             return result.Err(exceptions.HistoryExpired(kind, revision))
         try:
-            events = _EVENTS_DECODER.decode(received.body)
+            events = _decode_items(_EVENTS_DECODER, received.body)
         except msgspec.MsgspecError as error:
             return result.Err(exceptions.Undecodable(kind, str(error)))
         changes: list[ObjectChange] = []
         undecodable = 0
-        for event in events.events:
-            stored_object = _decode_object(event.object, generation)
-            if stored_object is None:
+        for raw in events.events:
+            change = _decode_change(raw, generation)
+            if change is None:
                 undecodable += 1
             else:
-                changes.append(ObjectChange(stored_object, event.removed))
+                changes.append(change)
         return result.Ok(
             ObjectChanges(
                 changes,
@@ -490,8 +497,24 @@
     return _decode_object(msgspec.Raw(failure.body), failure.generation)
 
 
+def _decode_items(decoder: msgspec.json.Decoder[_T], body: bytes) -> _T:
+    """Decodes a response with items, without those nested too deeply."""
+    try:
+        return decoder.decode(body)
+    except RecursionError:
+        return decoder.decode(nesting.drop_deep_items(body, _ITEM_DEPTH))
+
+
+def _decode_change(raw: msgspec.Raw, generation: int) -> ObjectChange | None:
+    with contextlib.suppress(*nesting.DECODE_ERRORS):
+        event = _EVENT_DECODER.decode(raw)
+        stored = _decode_object(event.object, generation)
+        return ObjectChange(stored, event.removed) if stored else None
+    return None
+
+
 def _decode_object(raw: msgspec.Raw, generation: int) -> StoredObject | None:
-    with contextlib.suppress(msgspec.MsgspecError):
+    with contextlib.suppress(*nesting.DECODE_ERRORS):
         stored = _OBJECT_DECODER.decode(raw)
         stored.meta.rev = revisions.compose(generation, stored.meta.rev)
         return stored
--- a/tests/platform/test_messages.py
+++ b/tests/platform/test_messages.py
@@ -132,6 +132,48 @@
 class TestStoredObjects:
     """Backend servers, key tables and the gateway's other objects."""
 
+    def test_odd_entries_of_servers_are_undecodable(self):
+        """Guards against errors at each use of an entry of another writer."""
+        entry = server_standin.server_spec("n", "books", 8080)
+        odd_entries = [
+            {**entry, "addr": address}
+            for address in (
+                "127.0.0.1:65536",
+                "127.0.0.1:0",
+                "127.0.0.1:-1",
+                "127.0.0.1:" + 5000 * "9",
+                "127.0.0.1: 80",
+                ":80",
+                "host:80",
+                "80",
+            )
+        ]
+        odd_entries += [
+            {**entry, "info": {**entry["info"], "maxConcurrency": slots}}
+            for slots in (-1, 0, 10**12, 10**18, 1.5, "3")
+        ]
+        odd_entries += [{**entry, "born": b} for b in (-1, 2**60, 1.5, None)]
+        odd_entries.append(
+            {**entry, "status": {"state": "ready", "warmupLeftMs": 1e300}}
+        )
+        for odd_entry in odd_entries:
+            decoded = objects.decode_server(make_stored_object(odd_entry))
+            assert isinstance(decoded, result.Err), odd_entry
+
+    def test_deeply_nested_objects_are_undecodable(self):
+        """Guards against a recursion error that ends the reading task."""
+        depth = 100_000
+        nested = msgspec.Raw(b'{"x":' + b"[" * depth + b"]" * depth + b"}")
+        null = msgspec.Raw(b"null")
+        for decode in (
+            objects.decode_server,
+            objects.decode_configuration,
+            objects.decode_gateway_object,
+            objects.decode_table,
+        ):
+            stored = store.build_stored_object("n", 7, nested, null)
+            assert isinstance(decode(stored), result.Err)
+
     def test_backend_server_is_decoded(self):
         """Guards against fields that are assigned to the wrong attribute."""
         spec = server_standin.server_spec(
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -4,6 +4,7 @@
 from collections.abc import AsyncIterator
 import contextlib
 
+import msgspec
 import pytest
 import result
 
@@ -39,6 +40,23 @@
         assert [o.name for o in listing.objects] == [f"n{n}" for n in range(10)]
         assert listing.revision == fake_store.revision
 
+    async def test_deeply_nested_object_is_left_out(self, store_and_client):
+        """Guards against an odd entry that hides all others of its kind."""
+        fake_store, client = store_and_client
+        depth = 100_000
+        before = (await client.list_all("k")).unwrap().revision
+        await fake_store.put("k", "a", {"text": '[{"'})
+        await fake_store.put(
+            "k", "b", msgspec.Raw(b'{"x":' * depth + b"1" + b"}" * depth)
+        )
+        await fake_store.put("k", "c", [[1], [2]])
+        listing = (await client.list_all("k")).unwrap()
+        assert [o.name for o in listing.objects] == ["a", "c"]
+        assert listing.undecodable == 1
+        watched = (await client.watch("k", before)).unwrap()
+        assert [c.object.name for c in watched.changes] == ["a", "c"]
+        assert watched.revision == listing.revision
+
 
 class TestWatch:
     """Watching the changes after a revision."""
