Don't take a repeated rejection for the answer to a running request

Callers were told that a request had not run, and to come again, while a server was running it; a request that isn't idempotent ran twice.

Cause: a faulty server wrote an earlier rejection once more on a kept connection. A response is matched by the id of its request, but a retry of a request has the same id and often took the same connection, and a response without an id was taken for any request.

Change: a request isn't sent on a connection that has carried it before; the connection stays in the pool for others. On a connection that was used before, a response without an id ends the attempt as one of unknown outcome.

The router's own interface doesn't match responses by id and is unchanged.

--- a/berylweir/gateway/dispatch/connection_pool.py
+++ b/berylweir/gateway/dispatch/connection_pool.py
@@ -52,29 +52,39 @@
         self._idle.append((now_s + max_idle_s, connection))
 
     def acquire(
-        self, now_s: float, *, is_idempotent: bool
+        self, now_s: float, *, is_idempotent: bool, request_id: str = ""
     ) -> http.Connection | None:
         """Takes a usable connection out of the pool; None if there is none.
 
+        A connection that carried the same request before stays in the pool: the
+        server may send its response to that attempt once more.
+
         Args:
             now_s: Time on the loop's clock, in seconds.
             is_idempotent: Whether the request may run more than once.
+            request_id: Id of the request.
         """
         while self._idle and self._idle[0][0] <= now_s:
             self._idle.popleft()[1].close()
-        while self._idle:
+        passed_over: list[tuple[float, http.Connection]] = []
+        found: http.Connection | None = None
+        while self._idle and found is None:
             expires_s, connection = self._idle[-1]
             if (
                 not is_idempotent
                 and now_s - connection.last_received_s
                 > _MAX_IDLE_NON_IDEMPOTENT_S
             ):
-                return None
+                break
             self._idle.pop()
-            if expires_s > now_s and not connection.has_unread():
-                return connection
-            connection.close()
-        return None
+            if expires_s <= now_s or connection.has_unread():
+                connection.close()
+            elif connection.has_carried(request_id):
+                passed_over.append((expires_s, connection))
+            else:
+                found = connection
+        self._idle.extend(reversed(passed_over))
+        return found
 
     def close(self) -> None:
         """Closes all idle connections."""
--- a/berylweir/gateway/dispatch/task.py
+++ b/berylweir/gateway/dispatch/task.py
@@ -413,7 +413,9 @@
         placement = messages.Placement(
             state.server,
             state.pool.acquire(
-                now_s, is_idempotent=place_request.requirements.is_idempotent
+                now_s,
+                is_idempotent=place_request.requirements.is_idempotent,
+                request_id=place_request.requirements.request_id,
             ),
             now_s,
             state.estimated_load(now_s),
--- a/berylweir/gateway/exchange/attempt.py
+++ b/berylweir/gateway/exchange/attempt.py
@@ -107,6 +107,7 @@
                 matches_request=lambda headers: requests.matches_request_id(
                     request.head.request_id, headers
                 ),
+                request_id=request.head.request_id,
             )
             if request.body:
                 connection.write(request.body)
@@ -115,7 +116,9 @@
         try:
             async with asyncio.timeout(max(0.0, remaining_s)):
                 return await self._read_response(
-                    connection, _stream_deadline_s(request, requirements)
+                    request,
+                    connection,
+                    _stream_deadline_s(request, requirements),
                 )
         except TimeoutError:
             return outcomes.OutOfTime(), messages.AttemptResult.EXPIRED
@@ -128,9 +131,19 @@
             return outcomes.Unknown(), attempt_result
 
     async def _read_response(
-        self, connection: http.Connection, stream_deadline_s: float
+        self,
+        request: exchange.CallerRequest,
+        connection: http.Connection,
+        stream_deadline_s: float,
     ) -> tuple[outcomes.Outcome, messages.AttemptResult]:
         raw_head = await connection.read_head()
+        if (
+            request.head.request_id
+            and connection.is_reused
+            and not requests.states_request_id(raw_head.headers)
+        ):
+            # It may be an earlier response that the server sent once more.
+            return outcomes.Unknown(), messages.AttemptResult.BROKEN
         head = requests.decode_response(raw_head.status, raw_head.headers)
         self._response_head = head
         if head.reports_not_run:
--- a/berylweir/platform/requests.py
+++ b/berylweir/platform/requests.py
@@ -183,13 +183,18 @@
     """Returns whether a response may belong to the request.
 
     A server may send a late, duplicate response to an earlier request on the
-    same connection. Its `request-id` header differs from the expected one; a
-    response without that header is accepted.
+    same connection. Its `request-id` header differs from the expected one. A
+    response without that header may belong to any request.
     """
     expected = request_id.encode("latin-1")
     return all(v == expected for n, v in headers if n == _REQUEST_ID)
 
 
+def states_request_id(headers: Iterable[Header]) -> bool:
+    """Returns whether a response states the id of its request."""
+    return any(name == _REQUEST_ID for name, _ in headers)
+
+
 def decode_response(status: int, headers: Iterable[Header]) -> ResponseHead:
     """Decodes the head of a backend server's response.
 
--- a/berylweir/router/backends/connection.py
+++ b/berylweir/router/backends/connection.py
@@ -24,6 +24,8 @@
 # Time within which the other end must acknowledge sent data, in ms.
 _USER_TIMEOUT_MS = 2000
 
+# Ids of earlier requests that are remembered, from the last one on.
+_MAX_CARRIED_REQUEST_IDS = 16
 # `struct linger` with l_onoff=1 and l_linger=0: close() sends a TCP reset.
 _LINGER_RESET = struct.pack("ii", 1, 0)
 
@@ -84,8 +86,24 @@
         self._writable = asyncio.Event()
         self._writable.set()
         self._waiter: asyncio.Future[None] | None = None
+        self._exchange_count = 0
+        self._carried_request_ids: collections.deque[str] = collections.deque(
+            maxlen=_MAX_CARRIED_REQUEST_IDS
+        )
         self._reset(is_head_request=False)
 
+    @property
+    def is_reused(self) -> bool:
+        """Whether the present exchange isn't the first one.
+
+        The response may then be one to an earlier request, sent once more.
+        """
+        return self._exchange_count > 1
+
+    def has_carried(self, request_id: str) -> bool:
+        """Returns whether it was used for a request with this id before."""
+        return request_id in self._carried_request_ids
+
     @property
     def opened_s(self) -> float:
         """When the connection was opened, in seconds on the loop's clock."""
@@ -316,6 +334,7 @@
         *,
         is_head_request: bool,
         matches_request: Callable[[Headers], bool] | None = None,
+        request_id: str = "",
     ) -> None:
         """Starts an exchange by sending the head of a request.
 
@@ -325,6 +344,7 @@
                 body.
             matches_request: Returns whether a response with these headers
                 belongs to the request. Other responses are skipped.
+            request_id: Id of the request, for `has_carried`.
 
         Raises:
             ConnectionCut: If the connection has ended.
@@ -333,6 +353,9 @@
             raise exceptions.ConnectionCut
         self._reset(is_head_request=is_head_request)
         self._matches_request = matches_request
+        self._exchange_count += 1
+        if request_id:
+            self._carried_request_ids.append(request_id)
         self._exchange_started_s = self._loop.time()
         self._transport.write(head)
 
--- a/berylweir/standin/gateway_platform/server.py
+++ b/berylweir/standin/gateway_platform/server.py
@@ -101,7 +101,7 @@
         """Serves a caller's request, a health check, a grant or a release."""
         expected = request.headers.get("expect-instance", self.name)
         if expected != self.name:
-            return http.Response(421, {"Instance-Id": self.name, **_NOT_RUN})
+            return _reject(request, 421, {"Instance-Id": self.name})
         match request.path:
             case "/healthz":
                 return http.Response(200, {"Instance-Id": self.name})
@@ -153,9 +153,9 @@
         text = request.headers.get("shard-key")
         key = int(text) if text is not None else None
         if self._is_keyed and (key is None or not self.holds(key)):
-            return http.Response(421, dict(_NOT_RUN))
+            return _reject(request, 421)
         if self.in_flight >= self._slots:
-            return http.Response(503, dict(_NOT_RUN))
+            return _reject(request, 503)
         request_id = request.headers.get("request-id", "")
         deadline = request.headers.get("deadline-ms")
         self.executions.append(
@@ -206,6 +206,16 @@
         return http.Response(200, headers, body)
 
 
+def _reject(
+    request: http.Request, status: int, headers: dict[str, str] | None = None
+) -> http.Response:
+    """Returns a response that states that a request wasn't executed."""
+    stated = {**_NOT_RUN, **(headers or {})}
+    if "request-id" in request.headers:
+        stated["Request-Id"] = request.headers["request-id"]
+    return http.Response(status, stated)
+
+
 def server_spec(
     server: str,
     group: str,
