Test responses whose head breaks off

Cause: other operators saw a 200 with an empty body, framed as whole, after a server had closed its connection within the head of a response.

--- a/berylweir/standin/gateway_platform/http.py
+++ b/berylweir/standin/gateway_platform/http.py
@@ -36,6 +36,8 @@
         headers: Headers.
         body: The body.
         is_truncated: Whether the connection is reset after half of the body.
+        is_head_truncated: Whether the connection is closed within the last
+            header.
         ends_with_connection: Whether the end of the connection ends the body,
             without a `Content-Length`.
         trailing_bytes: Bytes that are sent after the response.
@@ -47,6 +49,7 @@
     headers: dict[str, str] = dataclasses.field(default_factory=dict)
     body: bytes = b""
     is_truncated: bool = False
+    is_head_truncated: bool = False
     ends_with_connection: bool = False
     trailing_bytes: bytes = b""
     repeats_body: bool = False
@@ -124,7 +127,13 @@
         head_lines.append("transfer-encoding: chunked\r\n")
     elif not response.ends_with_connection:
         head_lines.append(f"content-length: {len(response.body)}\r\n")
-    writer.write("".join(head_lines).encode("latin-1") + b"\r\n")
+    head = "".join(head_lines).encode("latin-1")
+    if response.is_head_truncated:
+        writer.write(head[: -len(head_lines[-1]) // 2])
+        await writer.drain()
+        writer.close()
+        return False
+    writer.write(head + b"\r\n")
     while response.repeats_body:
         writer.write(b"%x\r\n%b\r\n" % (len(response.body), response.body))
         await writer.drain()
--- a/tests/gateway/test_path.py
+++ b/tests/gateway/test_path.py
@@ -87,8 +87,20 @@
                 200, {"Response-Seal": "x"}, b"abcdef", is_truncated=True
             ),
             http.Response(200, {"Request-Id": "a1"}, b"no signature"),
+            http.Response(
+                200,
+                {"Request-Id": "a1", "Response-Seal": "x"},
+                b"abcdef",
+                is_head_truncated=True,
+            ),
+            http.Response(
+                200,
+                {"Request-Id": "a1", "Response-Seal": "x"},
+                is_head_truncated=True,
+                ends_with_connection=True,
+            ),
         ],
-        ids=["reset", "cut", "unsigned"],
+        ids=["reset", "cut", "unsigned", "half a head", "head without length"],
     )
     async def test_non_idempotent_request_that_may_have_run_is_not_retried(
         self, fault
