Heed a server that says that it is leaving

Requests went to a leaving server until the store said so, which is late or never while the store is away: for keys of such a server until its entry expired, for others at random.

Cause: the header `Server-Leaving` was forwarded to callers and not read.

Change: the statement belongs to the instance and stays. Such a server gets requests only if no other can run them, and only within 0.6 of `drainMs`; its idle connections are closed. If the store doesn't say it, the lease holder is told at once, so that its keys move (decision 0022).

--- a/berylweir/gateway/dispatch/decisions.py
+++ b/berylweir/gateway/dispatch/decisions.py
@@ -2,6 +2,7 @@
 
 import bisect
 from collections.abc import Sequence
+import dataclasses
 import random
 
 from berylweir.gateway import models
@@ -77,22 +78,55 @@
     )
 
 
-def permit_wait_s(
-    state: dispatch.ServerState, deadline_s: float, now_s: float
-) -> float:
-    """Returns the time until a server's limit allows another request.
+@dataclasses.dataclass(frozen=True, slots=True)
+class Available:
+    """A server has stated nothing that keeps a request away from it."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Leaving:
+    """A server shuts down."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class LimitReached:
+    """The limit that a server named allows no request in time.
+
+    Attributes:
+        until_s: When it allows the next one, on the loop's clock, in seconds.
+    """
+
+    until_s: float
+
+
+Availability = Available | Leaving | LimitReached
+
+
+def check_statements(
+    state: dispatch.ServerState,
+    deadline_s: float,
+    now_s: float,
+    *,
+    leaving_use_s: float,
+) -> Availability:
+    """Returns whether a server's statements keep a request away from it.
 
     Args:
         state: The server.
-        deadline_s: Until when the request can wait for a permit.
+        deadline_s: Until when the request can wait for a permit, on the loop's
+            clock, in seconds.
         now_s: Time on the loop's clock, in seconds.
-
-    Returns:
-        The time in seconds; 0 if there may be a permit before the deadline.
+        leaving_use_s: Time for which a leaving server is still used, in
+            seconds.
     """
-    if state.max_rate is None or state.permit_available_s <= deadline_s:
-        return 0.0
-    return max(0.0, state.permit_available_s - now_s)
+    if (
+        state.leaving_since_s is not None
+        and now_s >= state.leaving_since_s + leaving_use_s
+    ):
+        return Leaving()
+    if state.max_rate is not None and state.permit_available_s > deadline_s:
+        return LimitReached(state.permit_available_s)
+    return Available()
 
 
 def sample_servers(
--- a/berylweir/gateway/dispatch/models.py
+++ b/berylweir/gateway/dispatch/models.py
@@ -67,6 +67,8 @@
             together, as it stated; None if it stated no limit.
         permit_available_s: When that limit allows another request, on the
             loop's clock, in seconds; in the past unless a permit was denied.
+        leaving_since_s: When it first said that it is leaving, on the loop's
+            clock, in seconds; None if it hasn't.
         served: Requests served since the last usage report.
         failed: Requests failed since the last usage report.
     """
@@ -85,6 +87,7 @@
     full_until_s: float = float("-inf")
     max_rate: float | None = None
     permit_available_s: float = float("-inf")
+    leaving_since_s: float | None = None
     served: int = 0
     failed: int = 0
     _other_vms_load: float = 0.0
@@ -210,6 +213,8 @@
                 pass
             case _:
                 typing.assert_never(statements.rate_limit)
+        if statements.is_leaving and self.leaving_since_s is None:
+            self.leaving_since_s = now_s
 
     def _record_other_vms_load(self, other_vms_load: float) -> None:
         self._other_vms_load = other_vms_load
--- a/berylweir/gateway/dispatch/statement_log.py
+++ b/berylweir/gateway/dispatch/statement_log.py
@@ -1,6 +1,7 @@
 """Logs and counts what backend servers say of themselves."""
 
 import logging
+import typing
 
 from berylweir.gateway import models
 from berylweir.gateway.dispatch import models as dispatch
@@ -14,7 +15,7 @@
 
 
 class StatementLog:
-    """Logs each change of a server's limit, and counts invalid statements."""
+    """Logs each change in what servers state, and counts their statements."""
 
     def __init__(self, metrics: counters.Counters) -> None:
         """Creates a log without any statements.
@@ -25,13 +26,18 @@
         self._metrics = metrics
         self._logged_rates: dict[models.ServerInstance, float] = {}
         self._invalid_logged_s: dict[models.ServerInstance, float] = {}
+        self._leaving: set[models.ServerInstance] = set()
 
     def retain(self, servers: set[models.ServerInstance]) -> None:
         """Forgets all server instances except the given ones."""
-        for logged in (self._logged_rates, self._invalid_logged_s):
+        for logged in (
+            self._logged_rates,
+            self._invalid_logged_s,
+        ):
             for removed in logged.keys() - servers:
                 del logged[removed]
-        self._update_gauge()
+        self._leaving &= servers
+        self._update_gauges()
 
     def record(
         self,
@@ -46,19 +52,45 @@
             statements: What it said of itself in the response.
             now_s: Time on the loop's clock, in seconds.
         """
+        self._record_rate_limit(state, statements.rate_limit, now_s)
+        instance = state.server.instance
+        if statements.is_leaving and instance not in self._leaving:
+            self._leaving.add(instance)
+            self._update_gauges()
+            _LOGGER.info(
+                "server leaving",
+                extra={
+                    "server": instance.server,
+                    "born_ms": instance.born_ms,
+                    "is_draining": state.server.is_draining,
+                },
+            )
+
+    def _record_rate_limit(
+        self,
+        state: dispatch.ServerState,
+        statement: models.RateLimitStatement,
+        now_s: float,
+    ) -> None:
         instance = state.server.instance
-        match statements.rate_limit:
+        match statement:
             case models.RateLimitInvalid(value):
                 self._metrics.count("gateway.server_limits_invalid")
-                self._log_invalid(instance, value, now_s)
-            case _:
+                self._log_invalid(instance, "limit", value, now_s)
+            case (
+                models.RateLimited()
+                | models.NotRateLimited()
+                | models.RateLimitUnstated()
+            ):
                 pass
+            case _:
+                typing.assert_never(statement)
         logged_rate = self._logged_rates.get(instance)
         rate = state.max_rate
         if rate is None:
             if logged_rate is not None:
                 del self._logged_rates[instance]
-                self._update_gauge()
+                self._update_gauges()
                 _LOGGER.info(
                     "server unlimited",
                     extra={"server": instance.server, "before": logged_rate},
@@ -68,7 +100,7 @@
             or abs(rate - logged_rate) > _MIN_LOGGED_CHANGE * logged_rate
         ):
             self._logged_rates[instance] = rate
-            self._update_gauge()
+            self._update_gauges()
             _LOGGER.info(
                 "server limited",
                 extra={
@@ -79,16 +111,25 @@
             )
 
     def _log_invalid(
-        self, instance: models.ServerInstance, value: str, now_s: float
+        self,
+        instance: models.ServerInstance,
+        statement: str,
+        value: str,
+        now_s: float,
     ) -> None:
         logged_s = self._invalid_logged_s.get(instance, float("-inf"))
         if now_s - logged_s < _INVALID_LOG_INTERVAL_S:
             return
         self._invalid_logged_s[instance] = now_s
         _LOGGER.warning(
-            "invalid limit of a server",
-            extra={"server": instance.server, "value": value},
+            "invalid statement of a server",
+            extra={
+                "server": instance.server,
+                "statement": statement,
+                "value": value,
+            },
         )
 
-    def _update_gauge(self) -> None:
+    def _update_gauges(self) -> None:
         self._metrics.gauge("gateway.servers_limited", len(self._logged_rates))
+        self._metrics.gauge("gateway.servers_leaving", len(self._leaving))
--- a/berylweir/gateway/dispatch/task.py
+++ b/berylweir/gateway/dispatch/task.py
@@ -1,7 +1,9 @@
 """The task that owns the state of all backend servers on this VM."""
 
 import asyncio
+from collections.abc import Callable
 from collections.abc import Mapping
+from collections.abc import Sequence
 import dataclasses
 import random
 import typing
@@ -32,6 +34,12 @@
 # decay with time, so a server may get capacity without a message.
 _WAITING_RETRY_INTERVAL_S = 0.02
 
+# Fraction of the time until which a leaving server may get requests for which
+# it still gets those that no other server can run.
+_LEAVING_USE_SHARE = 0.6
+# Number of leaving instances that are remembered, also without an entry.
+_MAX_LEAVING = 1000
+
 Inbox = mailbox.Mailbox[messages.DispatcherMessage]
 _Reason = messages.RefusalReason
 
@@ -61,6 +69,7 @@
         environment: models.Environment,
         inbox: Inbox,
         metrics: counters.Counters,
+        on_server_leaving: Callable[[], None] = lambda: None,
     ) -> None:
         """Creates the dispatcher.
 
@@ -68,7 +77,10 @@
             environment: Settings that the platform passed.
             inbox: Mailbox of the dispatcher.
             metrics: Counters.
+            on_server_leaving: Called when a server says that it is leaving
+                before its entry does.
         """
+        self._on_server_leaving = on_server_leaving
         self._vm = environment.vm
         self._zone = environment.availability_zone
         self._bounds = environment.bounds
@@ -83,6 +95,9 @@
         self._waiting_requests: list[messages.PlaceRequest] = []
         self._reachability = reachability.ReachabilityTracker()
         self._statement_log = statement_log.StatementLog(metrics)
+        # Instances that said that they are leaving, oldest first. They don't
+        # return, even if their entries do.
+        self._leaving_since_s: dict[models.ServerInstance, float] = {}
         # The key is the name of the server and the rate that it tolerates.
         self._slow_start_shares: dict[
             tuple[str, float], slow_start.SlowStartShare
@@ -171,6 +186,7 @@
             state = self._servers.get(instance)
             if state is None:
                 state = dispatch.ServerState(server)
+                state.leaving_since_s = self._leaving_since_s.get(instance)
                 self._servers[instance] = state
                 if server.cold_ms > 0:
                     state.cold_until_s = now_s + server.cold_ms / 1000.0
@@ -194,12 +210,19 @@
                 group.requested_keys.clear()
         servers = {}
         for state in self._servers.values():
-            if state.served or state.failed or state.max_rate is not None:
+            is_leaving = state.leaving_since_s is not None
+            if (
+                state.served
+                or state.failed
+                or state.max_rate is not None
+                or is_leaving
+            ):
                 servers[state.server.name] = messages.ServerUsage(
                     state.served,
                     state.failed,
                     state.service_ms,
                     state.max_rate,
+                    state.server.born_ms if is_leaving else None,
                 )
                 state.served = state.failed = 0
         return messages.KeyUsage(self._vm, keys, servers)
@@ -289,11 +312,16 @@
             )
         if not self._is_within_slow_start_rate(state, group.settings, now_s):
             return _create_refusal(_Reason.COLD)
-        permit_wait_s = decisions.permit_wait_s(
-            state, place_request.requirements.queue_deadline_s, now_s
+        availability = decisions.check_statements(
+            state,
+            place_request.requirements.queue_deadline_s,
+            now_s,
+            leaving_use_s=_LEAVING_USE_SHARE * self._bounds.drain_s,
         )
-        if permit_wait_s > 0:
-            return _create_refusal(_Reason.LIMITED, permit_wait_s)
+        if not isinstance(availability, decisions.Available):
+            return _refuse_unavailable(
+                [availability], now_s, all_leaving=_Reason.NO_OWNER
+            )
         if decisions.is_full(state, now_s):
             return _create_refusal(
                 _Reason.FULL, decisions.time_until_capacity_s(state, now_s)
@@ -321,22 +349,17 @@
         ]
         if not within_rate:
             return _create_refusal(_Reason.COLD)
-        permit_waits_s = [
-            decisions.permit_wait_s(s, requirements.queue_deadline_s, now_s)
-            for s in within_rate
-        ]
-        within_limit = [
-            s
-            for s, wait_s in zip(within_rate, permit_waits_s, strict=True)
-            if wait_s <= 0
-        ]
-        if not within_limit:
-            return _create_refusal(_Reason.LIMITED, min(permit_waits_s))
+        available = self._select_available(within_rate, requirements, now_s)
+        match available:
+            case messages.NotPlaced():
+                return available
+            case _:
+                pass
         reachable = [
             s
-            for s in within_limit
+            for s in available
             if self._reachability.allows_request(s.server, now_s)
-        ] or within_limit
+        ] or available
         untried = [
             s
             for s in reachable
@@ -357,6 +380,38 @@
             return _create_refusal(_Reason.FULL, capacity_wait_s)
         return self._assign_server(place_request, state, group, now_s)
 
+    def _select_available(
+        self,
+        servers: Sequence[dispatch.ServerState],
+        requirements: messages.ServerRequirements,
+        now_s: float,
+    ) -> list[dispatch.ServerState] | messages.NotPlaced:
+        """Returns the servers whose statements allow a request.
+
+        Leaving servers are used only if there are no others, and not for long.
+        """
+        availabilities: list[decisions.Availability] = []
+        for leaving_use_s in (0.0, _LEAVING_USE_SHARE * self._bounds.drain_s):
+            availabilities = [
+                decisions.check_statements(
+                    s,
+                    requirements.queue_deadline_s,
+                    now_s,
+                    leaving_use_s=leaving_use_s,
+                )
+                for s in servers
+            ]
+            available = [
+                s
+                for s, availability in zip(servers, availabilities, strict=True)
+                if isinstance(availability, decisions.Available)
+            ]
+            if available:
+                return available
+        return _refuse_unavailable(
+            availabilities, now_s, all_leaving=_Reason.NO_SERVER
+        )
+
     def _is_eligible(self, state: dispatch.ServerState) -> bool:
         server = state.server
         return (
@@ -462,6 +517,8 @@
             return
         state.finish_request(finished, now_s, max(1, len(self._vms)))
         self._statement_log.record(state, finished.statements, now_s)
+        if state.leaving_since_s is not None:
+            self._remember_leaving(state)
         self._reachability.record_result(
             state.server, finished.attempt_result, now_s
         )
@@ -470,6 +527,17 @@
                 state, connection, finished.keep_alive_timeout_s, now_s
             )
 
+    def _remember_leaving(self, state: dispatch.ServerState) -> None:
+        instance = state.server.instance
+        if state.leaving_since_s is None or instance in self._leaving_since_s:
+            return
+        self._leaving_since_s[instance] = state.leaving_since_s
+        if len(self._leaving_since_s) > _MAX_LEAVING:
+            del self._leaving_since_s[next(iter(self._leaving_since_s))]
+        state.pool.close()
+        if not state.server.is_draining:
+            self._on_server_leaving()
+
     # Connections
 
     def _release_connection(
@@ -479,7 +547,7 @@
         keep_alive_timeout_s: float | None,
         now_s: float,
     ) -> None:
-        if state.server.is_draining:
+        if state.server.is_draining or state.leaving_since_s is not None:
             connection.close()
             return
         state.pool.release(
@@ -514,6 +582,35 @@
     )
 
 
+def _refuse_unavailable(
+    availabilities: Sequence[decisions.Availability],
+    now_s: float,
+    *,
+    all_leaving: _Reason,
+) -> messages.NotPlaced:
+    """Returns the refusal if no server is available by its statements.
+
+    Args:
+        availabilities: Why each server isn't available.
+        now_s: Time on the loop's clock, in seconds.
+        all_leaving: Reason to state if all of them are leaving.
+    """
+    first: tuple[float, _Reason] | None = None
+    for availability in availabilities:
+        match availability:
+            case decisions.LimitReached(until_s):
+                candidate = until_s, _Reason.LIMITED
+            case decisions.Leaving() | decisions.Available():
+                continue
+            case _:
+                typing.assert_never(availability)
+        if first is None or candidate[0] < first[0]:
+            first = candidate
+    if first is None:
+        return _create_refusal(all_leaving)
+    return _create_refusal(first[1], max(0.0, first[0] - now_s))
+
+
 def _cannot_be_placed_in_time(
     requirements: messages.ServerRequirements,
     refusal: messages.NotPlaced,
--- a/berylweir/gateway/messages.py
+++ b/berylweir/gateway/messages.py
@@ -325,12 +325,15 @@
             in ms; 0 if there was none.
         limit: Requests per second that the server said it takes from all VMs
             together; None if it named no limit.
+        leaving_born_ms: Start of the instance that said that it is leaving,
+            as Unix time in ms; None if none did.
     """
 
     served: int
     failed: int
     service_ms: float
     limit: float | None = None
+    leaving_born_ms: int | None = None
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/berylweir/gateway/models.py
+++ b/berylweir/gateway/models.py
@@ -344,11 +344,13 @@
         load: Its load, if it stated it.
         cold_ms: Remaining warm-up time, in ms, if it stated it.
         rate_limit: Limit on the requests that it takes.
+        is_leaving: Whether it says that it shuts down.
     """
 
     load: Load | None = None
     cold_ms: float | None = None
     rate_limit: RateLimitStatement = RateLimitUnstated()
+    is_leaving: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -361,6 +363,8 @@
         retry_window_s: Length of that window, in seconds.
         cold_slack: Requests per second that a server that warms up gets at
             most beyond the rate that it tolerates.
+        drain_s: Time after which a server that said that it is leaving gets no
+            more requests, in seconds.
         grace_s: Time between SIGTERM and SIGKILL, in seconds.
         max_hold_ms: Longest duration of a grant of keys, in ms.
     """
@@ -369,6 +373,7 @@
     retry_slack: float = 60.0
     retry_window_s: float = 10.0
     cold_slack: float = 5.0
+    drain_s: float = 2.0
     grace_s: float = 6.0
     max_hold_ms: float = 10_000.0
 
--- a/berylweir/gateway/ownership/candidates.py
+++ b/berylweir/gateway/ownership/candidates.py
@@ -102,6 +102,8 @@
             ):
                 continue
             instance = server.instance
+            if self._statistics.is_leaving(instance):
+                continue
             is_owner = instance in owners
             if is_owner and is_lost is not None and is_lost(instance):
                 self._exclude(instance, now_s)
--- a/berylweir/gateway/ownership/demand.py
+++ b/berylweir/gateway/ownership/demand.py
@@ -90,6 +90,7 @@
         self._response_counts: dict[str, int] = {}
         self._failure_ratios: dict[str, float] = {}
         self._limits: dict[str, _ReportedLimit] = {}
+        self._leaving: dict[str, int] = {}
 
     def record(
         self, servers: Mapping[str, messages.ServerUsage], now_s: float = 0.0
@@ -102,6 +103,8 @@
             now_s: Time on the boot clock, in seconds.
         """
         for name, usage in servers.items():
+            if usage.leaving_born_ms is not None:
+                self._leaving[name] = usage.leaving_born_ms
             if usage.limit is not None:
                 self._limits[name] = _ReportedLimit(usage.limit, now_s)
             elif usage.served > 0:
@@ -153,6 +156,10 @@
             return None
         return reported.per_s
 
+    def is_leaving(self, instance: models.ServerInstance) -> bool:
+        """Returns whether a server instance said that it is leaving."""
+        return self._leaving.get(instance.server) == instance.born_ms
+
     def failure_ratio(self, name: str) -> float:
         """Returns the fraction of a server's requests that fail, 0 to 1."""
         return self._failure_ratios.get(name, 0.0)
--- a/berylweir/gateway/ownership/lease.py
+++ b/berylweir/gateway/ownership/lease.py
@@ -46,6 +46,9 @@
 # other gateways don't get the object with its holder's address after the lease.
 _FIRST_LEASE_DELAY_S = 0.15
 
+# Shortest time between two reports to the holder, in seconds, however urgent.
+_MIN_REPORT_PAUSE_S = 0.2
+
 CollectReport = Callable[[], "asyncio.Future[peers.ReportUsage]"]
 
 
@@ -112,6 +115,7 @@
         self._confirmed_s = float("-inf")
         self._failed_reports = 0
         self._state_changed = asyncio.Event()
+        self._report_requested = asyncio.Event()
         self._is_resigning = False
         self._is_replacing_holder = False
         self._is_store_up = is_store_up
@@ -167,6 +171,10 @@
             tables,
         )
 
+    def report_soon(self) -> None:
+        """Has the next report to the holder made at once."""
+        self._report_requested.set()
+
     def update_vms(self, vms: Mapping[str, models.Vm]) -> None:
         """Replaces the registered gateways.
 
@@ -370,7 +378,17 @@
                     },
                 )
         if self._failed_reports == 0:
-            await asyncio.sleep(interval_s)
+            await self._wait_for_next_report(interval_s)
+
+    async def _wait_for_next_report(self, interval_s: float) -> None:
+        """Waits for the interval, or less if a report is urgent."""
+        await asyncio.sleep(min(interval_s, _MIN_REPORT_PAUSE_S))
+        try:
+            async with asyncio.timeout(interval_s - _MIN_REPORT_PAUSE_S):
+                await self._report_requested.wait()
+        except TimeoutError:
+            pass  # The report is due.
+        self._report_requested.clear()
 
     def _should_replace(self, status: peers.GatewayStatus) -> bool:
         """Returns whether to replace a holder that can't reach the store.
--- a/berylweir/gateway/ownership/task.py
+++ b/berylweir/gateway/ownership/task.py
@@ -170,6 +170,11 @@
                     task.result()
         await self._lease.resign()
 
+    def report_soon(self) -> None:
+        """Has the next report to the lease holder, or balance, made at once."""
+        self._lease.report_soon()
+        self._state_changed.set()
+
     async def handle_request(
         self, request: peers.Request
     ) -> peers.GatewayStatus:
@@ -252,6 +257,8 @@
                 group, demand.DemandEstimator()
             ).record(keys)
         self._server_statistics.record(usage.servers, clock.boot_s())
+        if any(s.leaving_born_ms is not None for s in usage.servers.values()):
+            self._state_changed.set()
 
     def _collect_report(self) -> "asyncio.Future[peers.ReportUsage]":
         """Returns a future of a report with the dispatcher's key usage."""
--- a/berylweir/gateway/peers/messages.py
+++ b/berylweir/gateway/peers/messages.py
@@ -20,6 +20,7 @@
     failed: int
     service_ms: float
     limit: float | None = None
+    leaving_born_ms: int | None = None
 
 
 class ReportUsage(msgspec.Struct, frozen=True, tag="use"):
@@ -282,7 +283,9 @@
         usage.vm,
         {group: list(keys) for group, keys in usage.keys.items()},
         {
-            name: ServerUsage(s.served, s.failed, s.service_ms, s.limit)
+            name: ServerUsage(
+                s.served, s.failed, s.service_ms, s.limit, s.leaving_born_ms
+            )
             for name, s in usage.servers.items()
         },
     )
@@ -294,7 +297,9 @@
         message.vm,
         {group: tuple(keys) for group, keys in message.keys.items()},
         {
-            name: gateway.ServerUsage(s.served, s.failed, s.service_ms, s.limit)
+            name: gateway.ServerUsage(
+                s.served, s.failed, s.service_ms, s.limit, s.leaving_born_ms
+            )
             for name, s in message.servers.items()
         },
     )
--- a/berylweir/gateway/supervisor.py
+++ b/berylweir/gateway/supervisor.py
@@ -189,7 +189,9 @@
         supervision.ChildSpec("peer_client", peer_client.run),
         supervision.ChildSpec(
             "dispatcher",
-            dispatch.Dispatcher(environment, dispatch_inbox, metrics).run,
+            dispatch.Dispatcher(
+                environment, dispatch_inbox, metrics, keeper.report_soon
+            ).run,
             stop_timeout_s=0.0,
         ),
         supervision.ChildSpec("permits", permit_task.run, stop_timeout_s=0.0),
--- a/berylweir/platform/requests.py
+++ b/berylweir/platform/requests.py
@@ -20,6 +20,7 @@
 _SERVER_LOAD = b"server-load"
 _WARMUP = b"warmup-ms"
 _SERVER_LIMIT = b"server-limit"
+_SERVER_LEAVING = b"server-leaving"
 # Hop-by-hop headers, and headers that the gateway sets itself.
 _UNFORWARDED_REQUEST_HEADERS = frozenset(
     {
@@ -48,6 +49,7 @@
         _SERVER_LOAD,
         _WARMUP,
         _SERVER_LIMIT,
+        _SERVER_LEAVING,
         _NOT_RUN,
     }
 )
@@ -225,6 +227,8 @@
                 values_by_name.get(_SERVER_LIMIT),
                 is_signed=_SIGNATURE in values_by_name,
             ),
+            # A response with status 421 may come from another server.
+            status != 421 and values_by_name.get(_SERVER_LEAVING) == b"1",
         ),
         None if content_length is None else int(content_length),
         _decode_keep_alive_timeout(values_by_name.get(b"keep-alive")),
--- a/berylweir/platform/settings.py
+++ b/berylweir/platform/settings.py
@@ -154,6 +154,7 @@
         retry_slack=number("retrySlack", defaults.retry_slack),
         retry_window_s=number("retryWindowS", defaults.retry_window_s),
         cold_slack=number("warmupSlack", defaults.cold_slack),
+        drain_s=number("drainMs", defaults.drain_s * 1000.0) / 1000.0,
         grace_s=number("graceS", defaults.grace_s),
         max_hold_ms=number("holdMaxMs", defaults.max_hold_ms),
     )
--- a/berylweir/standin/gateway_platform/server.py
+++ b/berylweir/standin/gateway_platform/server.py
@@ -46,6 +46,8 @@
     Attributes:
         name: Its instance id.
         executions: Requests that it executed, in order of their start.
+        arrivals_s: When requests arrived, also rejected ones, on its clock, in
+            seconds.
         ownership_calls: `grant` or `release` for each such call that it
             carried out.
         next_responses: Responses, mostly faulty, that replace those to the
@@ -53,6 +55,7 @@
         service_s: Execution time of a request, in seconds.
         limit_per_s: Requests per second that it says it takes; None if it
             names no limit.
+        is_leaving: Whether it says that it is shutting down.
         in_flight: Number of requests that it is executing.
         choose_grant_delay_s: Returns the delay of a grant in seconds, or None
             to apply it at once. A delayed grant gets no response.
@@ -78,10 +81,12 @@
         """
         self.name = name
         self.executions: list[Execution] = []
+        self.arrivals_s: list[float] = []
         self.ownership_calls: list[str] = []
         self.next_responses: list[http.Response] = []
         self.service_s = service_s
         self.limit_per_s: float | None = None
+        self.is_leaving = False
         self.in_flight = 0
         self.choose_grant_delay_s: Callable[[], float | None] = lambda: None
         self._slots = slots
@@ -150,6 +155,7 @@
         return http.Response(200, {"Handover": f"from-{self.name}"})
 
     async def _run(self, request: http.Request) -> http.Response:
+        self.arrivals_s.append(self._clock())
         text = request.headers.get("shard-key")
         key = int(text) if text is not None else None
         if self._is_keyed and (key is None or not self.holds(key)):
@@ -203,6 +209,8 @@
         }
         if self.limit_per_s is not None:
             headers["Server-Limit"] = f"{self.limit_per_s:g}"
+        if self.is_leaving:
+            headers["Server-Leaving"] = "1"
         return http.Response(200, headers, body)
 
 
--- a/tests/gateway/dispatch/test_task.py
+++ b/tests/gateway/dispatch/test_task.py
@@ -98,6 +98,7 @@
         self,
         placement: messages.Placement,
         attempt_result: messages.AttemptResult = messages.AttemptResult.SERVED,
+        statements: models.ServerStatements | None = None,
     ) -> None:
         """Reports the end of an attempt."""
         self.inbox.post(
@@ -106,7 +107,7 @@
                 self.requirements(),
                 attempt_result,
                 None,
-                models.ServerStatements(),
+                statements or models.ServerStatements(),
                 None,
                 0.1,
             )
@@ -145,3 +146,22 @@
             )
             refusal = await harness.place(is_retry=True)
             assert refusal.reason is messages.RefusalReason.RETRY_BUDGET
+
+
+class TestStatements:
+    """Requests for servers that say that they are leaving."""
+
+    async def test_leaving_server_does_not_return_with_its_entry(self):
+        """Guards against requests to a server whose entry is written again."""
+        async with DispatcherHarness(models.Bounds(drain_s=0.0)) as harness:
+            placement = await harness.place()
+            harness.finish(
+                placement, statements=models.ServerStatements(is_leaving=True)
+            )
+            harness.inbox.post(messages.ServersChanged({}))
+            harness.inbox.post(messages.ServersChanged({"s": placement.server}))
+            refusal = await harness.place(wait_s=0.0)
+            assert refusal.reason is messages.RefusalReason.NO_SERVER
+            restarted = dataclasses.replace(placement.server, born_ms=2)
+            harness.inbox.post(messages.ServersChanged({"s": restarted}))
+            assert isinstance(await harness.place(), messages.Placement)
--- /dev/null
+++ b/tests/gateway/test_server_statements.py
@@ -0,0 +1,71 @@
+"""Tests of servers that say that they are leaving."""
+
+import asyncio
+
+from berylweir.gateway import models
+from tests.gateway import rig as rigs
+
+# Time within which each keyed server must have an owner again, and the time
+# until which a leaving server may get requests, in seconds.
+_DRAIN_S = models.Bounds().drain_s
+
+
+class TestLeavingServer:
+    """Servers that say in their responses that they are leaving."""
+
+    async def test_leaving_server_gets_requests_until_the_store_says_so(self):
+        """Guards against ignoring what a leaving server says itself."""
+        async with rigs.Rig() as rig:
+            await rig.configure({"g": False}, [rigs.route("r", "g")])
+            leaving = await rig.add_server("s1", "g")
+            await rig.add_server("s2", "g")
+            gateway = await rig.add_gateway()
+            leaving.is_leaving = True
+            for number in range(40):
+                reply = await gateway.ask("/r/x", f"a{number}")
+                assert reply.status == 200
+                assert "server-leaving" not in reply.headers
+            assert len(leaving.executions) == 1
+
+    async def test_keys_of_a_leaving_owner_stay_with_it(self):
+        """Guards against requests for keys after the owner's time to drain."""
+        async with rigs.Rig() as rig:
+            await rig.configure({"slots": True}, [rigs.route("k", "slots")])
+            servers = [
+                await rig.add_server(f"s{n}", "slots", is_keyed=True)
+                for n in range(3)
+            ]
+            gateways = [await rig.add_gateway(f"vm-{n}") for n in range(2)]
+            keys = range(0, models.KEY_COUNT, 4099)
+
+            def owner_of(key: int):
+                owners = [s for s in servers if s.holds(key)]
+                return owners[0] if len(owners) == 1 else None
+
+            await rigs.until(lambda: all(owner_of(key) for key in keys))
+            leaving = owner_of(7)
+            leaving.is_leaving = True
+
+            async def call(number: int, key: int) -> int:
+                reply = await gateways[number % 2].ask(
+                    f"/k/{key}", f"a{number}", headers=f"Shard-Key: {key}\r\n"
+                )
+                return reply.status
+
+            first_said_s = None
+            statuses = []
+            loop = asyncio.get_running_loop()
+            number = 0
+            while first_said_s is None or loop.time() < first_said_s + 4.0:
+                statuses.append(await call(number, list(keys)[number % 16]))
+                number += 1
+                if first_said_s is None and leaving.executions:
+                    first_said_s = loop.time()
+                await asyncio.sleep(0.01)
+            assert first_said_s is not None
+            late = [
+                s for s in leaving.arrivals_s if s > first_said_s + _DRAIN_S
+            ]
+            assert late == []
+            assert statuses.count(200) > 0.9 * len(statuses)
+            assert all(owner_of(key) not in (None, leaving) for key in keys)
--- a/tests/platform/test_messages.py
+++ b/tests/platform/test_messages.py
@@ -68,6 +68,7 @@
                         b"server-load",
                         b"warmup-ms",
                         b"server-limit",
+                        b"server-leaving",
                         b"keep-alive",
                         b"content-length",
                         b"not-run",
@@ -129,6 +130,23 @@
             assert statement == models.RateLimitUnstated()
 
 
+class TestLeaving:
+    """What servers say of their end."""
+
+    def decode(self, *headers, status: int = 200) -> models.ServerStatements:
+        """Returns the statements in a response."""
+        return requests.decode_response(status, list(headers)).statements
+
+    def test_leaving_is_stated_by_the_server_itself(self):
+        """Guards against excluding a server for another one's statement."""
+        leaving = (b"server-leaving", b"1")
+        assert self.decode(leaving).is_leaving
+        assert self.decode(leaving, status=503).is_leaving
+        assert not self.decode(leaving, status=421).is_leaving
+        assert not self.decode((b"server-leaving", b"0")).is_leaving
+        assert not self.decode().is_leaving
+
+
 class TestStoredObjects:
     """Backend servers, key tables and the gateway's other objects."""
 
