Keep the pause that a server asks for with a rejection

A server that rejected requests and said for how long it wants none got the next ones 0.1 to 2 s later, whatever it had said, and callers were told to come back too early.

Cause: `Retry-After` in a server's 503 was not read; the gateway's own back-off applied.

Change: a pause is a statement like the others. Requests for keys of a paused server wait only if it ends in time, and are refused at once otherwise, with its end as `Retry-After`; other requests go to another server. Later statements replace earlier ones, and invalid ones are counted.

--- a/berylweir/gateway/dispatch/decisions.py
+++ b/berylweir/gateway/dispatch/decisions.py
@@ -88,6 +88,17 @@
     """A server shuts down."""
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Paused:
+    """A server wants no requests of this VM for some time.
+
+    Attributes:
+        until_s: When the pause ends, on the loop's clock, in seconds.
+    """
+
+    until_s: float
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class LimitReached:
     """The limit that a server named allows no request in time.
@@ -99,7 +110,7 @@
     until_s: float
 
 
-Availability = Available | Leaving | LimitReached
+Availability = Available | Leaving | Paused | LimitReached
 
 
 def check_statements(
@@ -124,6 +135,8 @@
         and now_s >= state.leaving_since_s + leaving_use_s
     ):
         return Leaving()
+    if state.paused_until_s > now_s:
+        return Paused(state.paused_until_s)
     if state.max_rate is not None and state.permit_available_s > deadline_s:
         return LimitReached(state.permit_available_s)
     return Available()
--- a/berylweir/gateway/dispatch/models.py
+++ b/berylweir/gateway/dispatch/models.py
@@ -69,6 +69,8 @@
             loop's clock, in seconds; in the past unless a permit was denied.
         leaving_since_s: When it first said that it is leaving, on the loop's
             clock, in seconds; None if it hasn't.
+        paused_until_s: Until when it wants no requests of this VM, on the
+            loop's clock, in seconds.
         served: Requests served since the last usage report.
         failed: Requests failed since the last usage report.
     """
@@ -88,6 +90,7 @@
     max_rate: float | None = None
     permit_available_s: float = float("-inf")
     leaving_since_s: float | None = None
+    paused_until_s: float = float("-inf")
     served: int = 0
     failed: int = 0
     _other_vms_load: float = 0.0
@@ -215,6 +218,13 @@
                 typing.assert_never(statements.rate_limit)
         if statements.is_leaving and self.leaving_since_s is None:
             self.leaving_since_s = now_s
+        match statements.pause:
+            case models.Pause(duration_s):
+                self.paused_until_s = now_s + duration_s
+            case models.PauseInvalid() | None:
+                pass
+            case _:
+                typing.assert_never(statements.pause)
 
     def _record_other_vms_load(self, other_vms_load: float) -> None:
         self._other_vms_load = other_vms_load
--- a/berylweir/gateway/dispatch/statement_log.py
+++ b/berylweir/gateway/dispatch/statement_log.py
@@ -25,6 +25,7 @@
         """
         self._metrics = metrics
         self._logged_rates: dict[models.ServerInstance, float] = {}
+        self._paused_until_s: dict[models.ServerInstance, float] = {}
         self._invalid_logged_s: dict[models.ServerInstance, float] = {}
         self._leaving: set[models.ServerInstance] = set()
 
@@ -32,6 +33,7 @@
         """Forgets all server instances except the given ones."""
         for logged in (
             self._logged_rates,
+            self._paused_until_s,
             self._invalid_logged_s,
         ):
             for removed in logged.keys() - servers:
@@ -53,6 +55,8 @@
             now_s: Time on the loop's clock, in seconds.
         """
         self._record_rate_limit(state, statements.rate_limit, now_s)
+        if statements.pause is not None:
+            self._record_pause(state, statements.pause, now_s)
         instance = state.server.instance
         if statements.is_leaving and instance not in self._leaving:
             self._leaving.add(instance)
@@ -110,6 +114,34 @@
                 },
             )
 
+    def _record_pause(
+        self,
+        state: dispatch.ServerState,
+        statement: models.PauseStatement,
+        now_s: float,
+    ) -> None:
+        instance = state.server.instance
+        match statement:
+            case models.Pause(duration_s):
+                self._metrics.count("gateway.server_pauses")
+                was_paused = (
+                    self._paused_until_s.get(instance, float("-inf")) > now_s
+                )
+                self._paused_until_s[instance] = state.paused_until_s
+                if not was_paused:
+                    _LOGGER.info(
+                        "server paused",
+                        extra={
+                            "server": instance.server,
+                            "duration_s": duration_s,
+                        },
+                    )
+            case models.PauseInvalid(value):
+                self._metrics.count("gateway.server_pauses_invalid")
+                self._log_invalid(instance, "pause", value, now_s)
+            case _:
+                typing.assert_never(statement)
+
     def _log_invalid(
         self,
         instance: models.ServerInstance,
--- a/berylweir/gateway/dispatch/task.py
+++ b/berylweir/gateway/dispatch/task.py
@@ -598,6 +598,8 @@
     first: tuple[float, _Reason] | None = None
     for availability in availabilities:
         match availability:
+            case decisions.Paused(until_s):
+                candidate = until_s, _Reason.PAUSED
             case decisions.LimitReached(until_s):
                 candidate = until_s, _Reason.LIMITED
             case decisions.Leaving() | decisions.Available():
--- a/berylweir/gateway/messages.py
+++ b/berylweir/gateway/messages.py
@@ -155,6 +155,7 @@
     FULL = "full"
     COLD = "cold"
     LIMITED = "limited"
+    PAUSED = "paused"
     RETRY_BUDGET = "retry_budget"
 
 
--- a/berylweir/gateway/models.py
+++ b/berylweir/gateway/models.py
@@ -336,6 +336,31 @@
 )
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Pause:
+    """A server wants no request from this VM for some time.
+
+    Attributes:
+        duration_s: The time, in seconds; finite and at least 0.
+    """
+
+    duration_s: float
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class PauseInvalid:
+    """A server states a pause that isn't a number of seconds.
+
+    Attributes:
+        value: The value as received, shortened.
+    """
+
+    value: str
+
+
+PauseStatement = Pause | PauseInvalid
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class ServerStatements:
     """What a backend server says of itself in a response.
@@ -345,12 +370,15 @@
         cold_ms: Remaining warm-up time, in ms, if it stated it.
         rate_limit: Limit on the requests that it takes.
         is_leaving: Whether it says that it shuts down.
+        pause: Time for which it wants no request from this VM, if it said so
+            when it rejected one.
     """
 
     load: Load | None = None
     cold_ms: float | None = None
     rate_limit: RateLimitStatement = RateLimitUnstated()
     is_leaving: bool = False
+    pause: PauseStatement | None = None
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/berylweir/platform/requests.py
+++ b/berylweir/platform/requests.py
@@ -21,6 +21,9 @@
 _WARMUP = b"warmup-ms"
 _SERVER_LIMIT = b"server-limit"
 _SERVER_LEAVING = b"server-leaving"
+_RETRY_AFTER = b"retry-after"
+# Longest pause that is taken from a server, in seconds.
+_MAX_PAUSE_S = 60.0
 # Hop-by-hop headers, and headers that the gateway sets itself.
 _UNFORWARDED_REQUEST_HEADERS = frozenset(
     {
@@ -229,6 +232,7 @@
             ),
             # A response with status 421 may come from another server.
             status != 421 and values_by_name.get(_SERVER_LEAVING) == b"1",
+            _decode_pause(status, values_by_name.get(_RETRY_AFTER)),
         ),
         None if content_length is None else int(content_length),
         _decode_keep_alive_timeout(values_by_name.get(b"keep-alive")),
@@ -250,7 +254,7 @@
     if request_id:
         headers.append((_REQUEST_ID, request_id.encode("latin-1")))
     if retry_after_s is not None:
-        headers.append((b"retry-after", b"%.3f" % retry_after_s))
+        headers.append((_RETRY_AFTER, b"%.3f" % retry_after_s))
     return tuple(headers)
 
 
@@ -290,6 +294,18 @@
     return models.RateLimited(per_s)
 
 
+def _decode_pause(
+    status: int, value: bytes | None
+) -> models.PauseStatement | None:
+    """Decodes the pause that a server asks for with a rejection."""
+    if status != 503 or value is None:
+        return None
+    duration_s = _parse_number(value)
+    if duration_s is None or not math.isfinite(duration_s) or duration_s < 0:
+        return models.PauseInvalid(value[:40].decode("latin-1"))
+    return models.Pause(min(duration_s, _MAX_PAUSE_S))
+
+
 def _decode_keep_alive_timeout(value: bytes | None) -> float | None:
     if value is None:
         return None
--- a/berylweir/standin/gateway_platform/server.py
+++ b/berylweir/standin/gateway_platform/server.py
@@ -56,6 +56,8 @@
         limit_per_s: Requests per second that it says it takes; None if it
             names no limit.
         is_leaving: Whether it says that it is shutting down.
+        rejection_pause_s: Time for which it asks for no requests with each
+            rejection, in seconds; None to ask for none.
         in_flight: Number of requests that it is executing.
         choose_grant_delay_s: Returns the delay of a grant in seconds, or None
             to apply it at once. A delayed grant gets no response.
@@ -87,6 +89,7 @@
         self.service_s = service_s
         self.limit_per_s: float | None = None
         self.is_leaving = False
+        self.rejection_pause_s: float | None = None
         self.in_flight = 0
         self.choose_grant_delay_s: Callable[[], float | None] = lambda: None
         self._slots = slots
@@ -161,7 +164,10 @@
         if self._is_keyed and (key is None or not self.holds(key)):
             return _reject(request, 421)
         if self.in_flight >= self._slots:
-            return _reject(request, 503)
+            pause = {}
+            if self.rejection_pause_s is not None:
+                pause["Retry-After"] = f"{self.rejection_pause_s:g}"
+            return _reject(request, 503, pause)
         request_id = request.headers.get("request-id", "")
         deadline = request.headers.get("deadline-ms")
         self.executions.append(
--- a/tests/gateway/dispatch/test_task.py
+++ b/tests/gateway/dispatch/test_task.py
@@ -149,7 +149,7 @@
 
 
 class TestStatements:
-    """Requests for servers that say that they are leaving."""
+    """Requests for servers that say that they are leaving or paused."""
 
     async def test_leaving_server_does_not_return_with_its_entry(self):
         """Guards against requests to a server whose entry is written again."""
@@ -165,3 +165,29 @@
             restarted = dataclasses.replace(placement.server, born_ms=2)
             harness.inbox.post(messages.ServersChanged({"s": restarted}))
             assert isinstance(await harness.place(), messages.Placement)
+
+    async def test_refusal_names_the_end_of_the_pause(self):
+        """Guards against callers who wait or come back during a pause."""
+        async with DispatcherHarness(models.Bounds()) as harness:
+            statements = models.ServerStatements(pause=models.Pause(5.0))
+            placement = await harness.place()
+            harness.finish(placement, messages.AttemptResult.SHED, statements)
+            refusal = await harness.place(wait_s=1.0)
+            assert refusal.reason is messages.RefusalReason.PAUSED
+            assert 4.0 < refusal.retry_after_s <= 5.0
+
+    async def test_shorter_pause_replaces_a_longer_one(self):
+        """Guards against a server that isn't used although it is ready."""
+        async with DispatcherHarness(models.Bounds()) as harness:
+            placements = [await harness.place() for _ in range(2)]
+            for placement, pause_s in zip(placements, (30.0, 0.0), strict=True):
+                statements = models.ServerStatements(
+                    pause=models.Pause(pause_s)
+                )
+                harness.finish(
+                    placement, messages.AttemptResult.SHED, statements
+                )
+            # It backs off for a moment after the rejections.
+            assert isinstance(
+                await harness.place(wait_s=10.0), messages.Placement
+            )
--- a/tests/gateway/test_server_statements.py
+++ b/tests/gateway/test_server_statements.py
@@ -1,4 +1,4 @@
-"""Tests of servers that say that they are leaving."""
+"""Tests of servers that say that they are leaving or want a pause."""
 
 import asyncio
 
@@ -69,3 +69,26 @@
             assert late == []
             assert statuses.count(200) > 0.9 * len(statuses)
             assert all(owner_of(key) not in (None, leaving) for key in keys)
+
+
+class TestPausedServer:
+    """Servers that ask for a pause with a rejection."""
+
+    async def test_server_gets_requests_while_it_wants_none(self):
+        """Guards against ignoring the time that a server asks for."""
+        async with rigs.Rig() as rig:
+            await rig.configure(
+                {"g": False}, [rigs.route("r", "g", attempts=1)]
+            )
+            server = await rig.add_server("s1", "g", slots=0)
+            server.rejection_pause_s = 2.0
+            gateway = await rig.add_gateway()
+            replies = []
+            for number in range(60):
+                replies.append(await gateway.ask("/r/x", f"a{number}"))
+                await asyncio.sleep(0.02)
+            assert {r.status for r in replies} == {503}
+            assert len(server.arrivals_s) == 1
+            waits_s = [float(r.headers["retry-after"]) for r in replies[1:]]
+            assert max(waits_s) <= 2.0
+            assert waits_s == sorted(waits_s, reverse=True)
--- a/tests/platform/test_messages.py
+++ b/tests/platform/test_messages.py
@@ -69,6 +69,7 @@
                         b"warmup-ms",
                         b"server-limit",
                         b"server-leaving",
+                        b"retry-after",
                         b"keep-alive",
                         b"content-length",
                         b"not-run",
@@ -130,8 +131,8 @@
             assert statement == models.RateLimitUnstated()
 
 
-class TestLeaving:
-    """What servers say of their end."""
+class TestLeavingAndPause:
+    """What servers say of their end, and with a rejection."""
 
     def decode(self, *headers, status: int = 200) -> models.ServerStatements:
         """Returns the statements in a response."""
@@ -146,6 +147,20 @@
         assert not self.decode((b"server-leaving", b"0")).is_leaving
         assert not self.decode().is_leaving
 
+    def test_pause_comes_with_a_rejection(self):
+        """Guards against a pause from a date, a caller's header or `nan`."""
+
+        def pause(value: bytes, status: int = 503):
+            return self.decode((b"retry-after", value), status=status).pause
+
+        assert pause(b"1.5") == models.Pause(1.5)
+        assert pause(b"0") == models.Pause(0.0)
+        assert pause(b"1e9") == models.Pause(60.0)
+        assert pause(b"2", status=200) is None
+        assert self.decode(status=503).pause is None
+        for value in (b"-1", b"nan", b"", b"Wed, 21 Oct 2026 07:28:00 GMT"):
+            assert isinstance(pause(value), models.PauseInvalid)
+
 
 class TestStoredObjects:
     """Backend servers, key tables and the gateway's other objects."""
