Don't count the wait of a watch as an outage of the store

A server got requests 2.1 to 2.4 s after the store had said that it was gone; 2 s are allowed.

Cause: after an outage of a second or more, missing entries are kept for 2.5 s, since they may only have expired. The end of an outage was taken from the end of the first call that succeeded. If that was a watch which had waited 3.5 s for a change, and the change was the removal of an entry, 0.0 s without the store counted as 3.5 s, and the entry was kept.

Measured: test_waiting_watch_does_not_count_as_an_outage fails before.

--- a/berylweir/gateway/replication/task.py
+++ b/berylweir/gateway/replication/task.py
@@ -230,11 +230,12 @@
             await asyncio.sleep(pause_s * random.uniform(0.5, 1.0))
 
     async def _list(self) -> exceptions.StoreFailure | None:
+        started_s = self._now_s()
         match await self._client.list_all(self._kind):
             case result.Err(failure):
                 return failure
             case result.Ok(listing):
-                self._on_store_regained()
+                self._on_store_regained(started_s)
                 self._count_undecodable(listing.undecodable)
                 if self._state.replace(
                     listing.objects, listing.revision, self._now_s()
@@ -244,6 +245,7 @@
                 return None
 
     async def _watch(self) -> exceptions.StoreFailure | None:
+        started_s = self._now_s()
         match await self._client.watch(
             self._kind,
             self._state.revision,
@@ -253,7 +255,7 @@
             case result.Err(failure):
                 return failure
             case result.Ok(watched):
-                self._on_store_regained()
+                self._on_store_regained(started_s)
                 self._count_undecodable(watched.undecodable)
                 for change in watched.changes:
                     self._state.apply_change(
@@ -338,16 +340,23 @@
             )
         self._on_change()
 
-    def _on_store_regained(self) -> None:
+    def _on_store_regained(self, call_started_s: float) -> None:
+        """Records that a call succeeded.
+
+        Args:
+            call_started_s: When the call was sent, on the event loop's clock,
+                in seconds. The store answered from then on, although a watch
+                may have waited for long.
+        """
         if self._is_current:
             return
         self._is_current = True
         outage_s = 0.0
         if self._store_lost_s is not None:
-            outage_s = self._now_s() - self._store_lost_s
+            outage_s = max(0.0, call_started_s - self._store_lost_s)
             self._store_lost_s = None
         if outage_s >= _MIN_OUTAGE_S and self._state.is_loaded:
-            self._state.record_store_recovery(self._now_s())
+            self._state.record_store_recovery(call_started_s)
         _LOGGER.info(
             "store regained",
             extra={"kind": self._kind, "away_s": round(outage_s, 2)},
--- a/tests/gateway/test_replication.py
+++ b/tests/gateway/test_replication.py
@@ -251,6 +251,26 @@
             running.replica.inbox.post(messages.FollowPeers())
             await rig.until(lambda: not running.replica.is_current)
 
+    async def test_waiting_watch_does_not_count_as_an_outage(self):
+        """Guards against requests to a server that has left, as if kept.
+
+        The first watch after a short outage waited for a change for longer than
+        an outage in which entries expire.
+        """
+        async with RunningReplica(keeps_expired=True) as running:
+            await running.store.put("k", "a", 1)
+            running.replica.inbox.post(messages.WatchStore())
+            await rig.until(lambda: running.published[-1:] == [{"a"}])
+            running.replica.inbox.post(messages.AwaitStore())
+            await rig.until(lambda: running.replica.is_store_lost)
+            calls = len(running.store.calls)
+            running.replica.inbox.post(messages.WatchStore())
+            await rig.until(lambda: len(running.store.calls) > calls)
+            await asyncio.sleep(1.2)
+            await running.store.remove("k", "a")
+            await rig.until(lambda: len(running.published) == 2)
+            assert running.published[-1] == set()
+
     async def test_a_watched_replica_returns_changes_after_a_revision(self):
         """Guards against gateways that miss changes or get them twice."""
         async with RunningReplica() as running:
