Restore the store and let servers speak in the soak

Cause: the soak of the real programs knew no restored store, and its servers never named a limit, asked for a pause or said that they leave, so it couldn't find the faults of these incidents.

Change: four new kinds of faults, with choices of their own, so that the other faults of a seed stay as they are; checks of the limit, of pauses and of leaving servers by the platform's rules, with a disrupted gateway excused; the number of gateways is an option.

--- a/Makefile
+++ b/Makefile
@@ -48,7 +48,8 @@
 	  $(BIN)/python -m pytest tests/keeper/test_machine.py
 
 soak-programs: $(STAMP)
-	$(BIN)/berylweir-soak --seed $(or $(SEED),1) --seconds $(or $(SECONDS),40)
+	$(BIN)/berylweir-soak --seed $(or $(SEED),1) --seconds $(or $(SECONDS),40) \
+	  --vms $(or $(VMS),3)
 
 history: $(STAMP)
 	$(BIN)/python -m berylweir.history.program \
--- a/berylweir/soak/fault_schedule.py
+++ b/berylweir/soak/fault_schedule.py
@@ -6,6 +6,10 @@
 
 # Longest time between the starts of two faults. Faults may overlap.
 _MAX_PAUSE_S = 0.8
+# The same for statements of servers and restorations of the store.
+_MAX_STATEMENT_PAUSE_S = 4.0
+# Longest duration of a server's statement.
+_MAX_STATEMENT_DURATION_S = 12.0
 # Longest duration of a fault; some have to outlast a grant of 2.5 s.
 _MAX_FAULT_DURATION_S = 3.5
 # Time without new faults at the start, in which all servers register, and at
@@ -32,7 +36,15 @@
             models.ScheduledFault(start_s, _random_fault(rng, vms, servers))
         )
         start_s += rng.uniform(0.0, _MAX_PAUSE_S)
-    return scheduled_faults
+    # These have choices of their own, so that they don't change the faults
+    # above for a seed.
+    statement_rng = random.Random(f"{seed}/statements")
+    start_s = FAULT_FREE_MARGIN_S
+    while start_s < seconds - FAULT_FREE_MARGIN_S:
+        fault = _random_statement(statement_rng, servers)
+        scheduled_faults.append(models.ScheduledFault(start_s, fault))
+        start_s += statement_rng.uniform(0.0, _MAX_STATEMENT_PAUSE_S)
+    return sorted(scheduled_faults, key=lambda scheduled: scheduled.start_s)
 
 
 def _random_fault(rng: random.Random, vms: int, servers: int) -> models.Fault:
@@ -53,3 +65,15 @@
         models.Deregister(server, duration_s),
     ]
     return rng.choice(candidates)
+
+
+def _random_statement(rng: random.Random, servers: int) -> models.Fault:
+    server = rng.randrange(servers)
+    duration_s = rng.uniform(1.0, _MAX_STATEMENT_DURATION_S)
+    candidates: list[models.Fault] = [
+        models.LimitServer(server, rng.choice((0.5, 3.0, 10.0)), duration_s),
+        models.PauseServer(server, rng.uniform(0.5, 3.0), duration_s),
+        models.ReplaceServer(server, duration_s),
+        models.RestoreStore(rng.uniform(0.5, 9.0), rng.uniform(0.0, 2.0)),
+    ]
+    return rng.choice(candidates)
--- a/berylweir/soak/models.py
+++ b/berylweir/soak/models.py
@@ -102,6 +102,62 @@
     duration_s: float
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class LimitServer:
+    """Has a backend server name a limit of its requests.
+
+    Attributes:
+        server: Number of the backend server.
+        per_s: Requests per second that it takes from all gateways.
+        duration_s: How long it says so, in seconds.
+    """
+
+    server: int
+    per_s: float
+    duration_s: float
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class PauseServer:
+    """Has a backend server reject all requests and ask for a pause.
+
+    Attributes:
+        server: Number of the backend server.
+        pause_s: Time for which it asks for no requests, in seconds.
+        duration_s: How long it rejects requests, in seconds.
+    """
+
+    server: int
+    pause_s: float
+    duration_s: float
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ReplaceServer:
+    """Has a backend server say that it is leaving, and then start again.
+
+    Attributes:
+        server: Number of the backend server.
+        duration_s: How long it says so, in seconds.
+    """
+
+    server: int
+    duration_s: float
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class RestoreStore:
+    """Has the store go away and come back from a copy.
+
+    Attributes:
+        age_s: Age of the copy, in seconds.
+        away_s: Time for which it is away, in seconds.
+    """
+
+    age_s: float
+    away_s: float
+
+
 Fault = (
     Kill
     | Stop
@@ -112,6 +168,10 @@
     | LateWrites
     | Reconfigure
     | Deregister
+    | LimitServer
+    | PauseServer
+    | ReplaceServer
+    | RestoreStore
 )
 
 
@@ -156,6 +216,23 @@
     seal: str = ""
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Disruption:
+    """A time in which a gateway's process or its links were disturbed.
+
+    Times are on the monotonic clock, in seconds.
+
+    Attributes:
+        vm: Number of the gateway's VM.
+        start_s: Start of the fault.
+        end_s: End of the fault; infinity while it lasts.
+    """
+
+    vm: int
+    start_s: float
+    end_s: float
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class PlannedStop:
     """A gateway instance that was asked to end, and did.
--- a/berylweir/soak/program.py
+++ b/berylweir/soak/program.py
@@ -12,7 +12,13 @@
 from berylweir.soak import runner
 
 
-def soak(*, seed: int = 1, seconds: float = 40.0, logs: str = "") -> None:
+def soak(
+    *,
+    seed: int = 1,
+    seconds: float = 40.0,
+    logs: str = "",
+    vms: int = runner.DEFAULT_VMS,
+) -> None:
     """Runs one soak of the gateway programs and prints the violations.
 
     Exits with status 1 if there are any.
@@ -21,13 +27,14 @@
         seed: Seed of the faults and requests; equal seeds give equal ones.
         seconds: Length of the soak, in seconds.
         logs: Directory for settings and logs; a temporary one if empty.
+        vms: Number of gateways, each a process of its own.
     """
     logging.basicConfig(level=logging.INFO, format="%(message)s")
     with tempfile.TemporaryDirectory() as temporary:
         directory = pathlib.Path(logs or temporary)
         directory.mkdir(parents=True, exist_ok=True)
         violations = asyncio.run(
-            _run_soak(runner.Soak(seed, seconds, directory))
+            _run_soak(runner.Soak(seed, seconds, directory, vms))
         )
     for violation in violations:
         print(violation)
--- a/berylweir/soak/runner.py
+++ b/berylweir/soak/runner.py
@@ -1,6 +1,8 @@
 """Runs one soak: starts the deployment, injects faults and checks results."""
 
 import asyncio
+import collections
+from collections.abc import Sequence
 import contextlib
 import logging
 import pathlib
@@ -14,13 +16,14 @@
 from berylweir.soak import gateways
 from berylweir.soak import models
 from berylweir.soak import proxy
+from berylweir.soak import statement_checks
 from berylweir.standin.gateway_platform import caller
 from berylweir.standin.gateway_platform import http
 from berylweir.standin.gateway_platform import server as server_standin
 from berylweir.standin.gateway_platform import store as store_standin
 
 _LOGGER = logging.getLogger(__name__)
-_VMS = 3
+DEFAULT_VMS = 3
 _CALLERS_PER_GATEWAY = 4
 _SERVERS_PER_GROUP = 4
 # Time that a server takes for a request.
@@ -31,6 +34,9 @@
 _SAMPLED_KEYS = (*range(0, 65_536, 4099), 65_535)
 _OWNERSHIP_CHECK_INTERVAL_S = 0.01
 _VERSION_CHECK_INTERVAL_S = 0.1
+# Time between two copies of the store, in seconds, and their number.
+_STORE_COPY_INTERVAL_S = 0.25
+_MAX_STORE_COPIES = 48
 # Deadline of a request that checks the configuration version in force.
 _VERSION_REQUEST_DEADLINE_MS = 500
 
@@ -44,7 +50,11 @@
     """
 
     def __init__(
-        self, seed: int, seconds: float, directory: pathlib.Path
+        self,
+        seed: int,
+        seconds: float,
+        directory: pathlib.Path,
+        vms: int = DEFAULT_VMS,
     ) -> None:
         """Creates a soak that has not started.
 
@@ -52,18 +62,27 @@
             seed: Seed of the faults and requests; equal seeds give equal ones.
             seconds: Its length, in seconds.
             directory: Directory for the gateways' settings and logs.
+            vms: Number of gateways.
         """
+        self._vms = vms
         self._seed = seed
         self._seconds = seconds
         self._directory = directory
         self._store = store_standin.Store()
         self._servers: list[server_standin.Server] = []
         self._server_ports: list[int] = []
+        # Number of times that each server was started again.
+        self._server_starts: collections.Counter[int] = collections.Counter()
         self._server_proxies: list[proxy.FaultProxy] = []
         self._store_proxies: list[proxy.FaultProxy] = []
         self._gateways: list[gateways.Gateway] = []
         self._planned_stops: list[models.PlannedStop] = []
         self._killed_instances: set[tuple[int, int]] = set()
+        self._disruptions: list[models.Disruption] = []
+        # Copies of the store with their times on the monotonic clock.
+        self._store_copies: collections.deque[
+            tuple[float, store_standin.StoreCopy]
+        ] = collections.deque(maxlen=_MAX_STORE_COPIES)
         self._violations: list[str] = []
         self._configuration_version = 0
         self._started_s = time.monotonic()
@@ -84,7 +103,10 @@
                 for number in range(_CALLERS_PER_GATEWAY)
             ]
             async with asyncio.TaskGroup() as group:
-                check_tasks = [group.create_task(self._check_single_owner())]
+                check_tasks = [
+                    group.create_task(self._check_single_owner()),
+                    group.create_task(self._copy_store()),
+                ]
                 for gateway in self._gateways:
                     check = self._check_configuration_version(gateway)
                     check_tasks.append(group.create_task(check))
@@ -114,11 +136,19 @@
         )
         if not answered_count:
             self._violations.append("no request was answered")
-        return self._violations + checks.find_violations(
-            exchanges,
-            self._servers,
-            self._planned_stops,
-            frozenset(self._killed_instances),
+        return (
+            self._violations
+            + checks.find_violations(
+                exchanges,
+                self._servers,
+                self._planned_stops,
+                frozenset(self._killed_instances),
+            )
+            + statement_checks.find_violations(
+                self._servers,
+                {e.request_id: e.vm for e in exchanges},
+                self._disruptions,
+            )
         )
 
     async def _start_deployment(self, stack: contextlib.AsyncExitStack) -> None:
@@ -136,7 +166,7 @@
             self._server_proxies.append(server_proxy)
             self._server_ports.append(await server_proxy.listen(stack))
             await self._register_server(number)
-        for vm in range(_VMS):
+        for vm in range(self._vms):
             store_proxy = proxy.FaultProxy(store_port)
             self._store_proxies.append(store_proxy)
             gateway = gateways.Gateway(
@@ -151,7 +181,10 @@
             "servers",
             f"s{number}",
             server_standin.server_spec(
-                f"s{number}", group, self._server_ports[number]
+                f"s{number}",
+                group,
+                self._server_ports[number],
+                born_ms=1 + self._server_starts[number],
             ),
         )
 
@@ -181,7 +214,7 @@
 
     async def _inject_faults(self) -> None:
         schedule = fault_schedule.generate(
-            self._seed, self._seconds, _VMS, len(self._servers)
+            self._seed, self._seconds, self._vms, len(self._servers)
         )
         async with asyncio.TaskGroup() as group:
             for scheduled_fault in schedule:
@@ -195,6 +228,20 @@
                 group.create_task(self._apply_fault(scheduled_fault.fault))
 
     async def _apply_fault(self, fault: models.Fault) -> None:
+        start_s = time.monotonic()
+        for vm in _disrupted_vms(fault, self._vms):
+            self._disruptions.append(
+                models.Disruption(vm, start_s, float("inf"))
+            )
+        await self._run_fault(fault)
+        end_s = time.monotonic()
+        for vm in _disrupted_vms(fault, self._vms):
+            self._disruptions.append(models.Disruption(vm, start_s, end_s))
+            self._disruptions.remove(
+                models.Disruption(vm, start_s, float("inf"))
+            )
+
+    async def _run_fault(self, fault: models.Fault) -> None:
         match fault:
             case models.Kill(vm, downtime_s):
                 gateway = self._gateways[vm]
@@ -236,9 +283,66 @@
                     await self._store.remove("servers", name)
                     await asyncio.sleep(duration_s)
                     await self._register_server(server)
+            case (
+                models.LimitServer()
+                | models.PauseServer()
+                | models.ReplaceServer()
+            ):
+                await self._make_statement(fault)
+            case models.RestoreStore(age_s, away_s):
+                await self._restore_store(age_s, away_s)
             case _:
                 typing.assert_never(fault)
 
+    async def _make_statement(
+        self,
+        fault: models.LimitServer | models.PauseServer | models.ReplaceServer,
+    ) -> None:
+        """Has a server say something of itself for some time."""
+        server = self._servers[fault.server]
+        match fault:
+            case models.LimitServer(_, per_s, duration_s):
+                server.limit_per_s = per_s
+                await asyncio.sleep(duration_s)
+                server.limit_per_s = None
+            case models.PauseServer(_, pause_s, duration_s):
+                server.rejection_pause_s = pause_s
+                server.is_rejecting = True
+                await asyncio.sleep(duration_s)
+                server.is_rejecting = False
+                server.rejection_pause_s = None
+            case models.ReplaceServer(number, duration_s):
+                if server.is_leaving:
+                    return
+                server.is_leaving = True
+                await asyncio.sleep(duration_s)
+                server.restart()
+                self._server_starts[number] += 1
+                await self._register_server(number)
+
+    async def _restore_store(self, age_s: float, away_s: float) -> None:
+        """Has the store come back from the newest copy of an age or more.
+
+        The operator and the servers then write theirs again.
+        """
+        self._store.default_fault = store_standin.Fault.RESET
+        await asyncio.sleep(away_s)
+        now_s = time.monotonic()
+        copies = [c for at_s, c in self._store_copies if at_s <= now_s - age_s]
+        if copies:
+            await self._store.restore(copies[-1])
+            self._store_copies.clear()
+        self._store.default_fault = None
+        await self._write_configuration()
+        for number in range(len(self._servers)):
+            await self._register_server(number)
+
+    async def _copy_store(self) -> None:
+        """Copies the store now and then, for restorations."""
+        while True:
+            self._store_copies.append((time.monotonic(), self._store.copy()))
+            await asyncio.sleep(_STORE_COPY_INTERVAL_S)
+
     async def _stop_gateway(self, gateway: gateways.Gateway) -> None:
         stop = models.PlannedStop(
             gateway.vm, gateway.instance, time.monotonic() - self._started_s
@@ -320,3 +424,19 @@
         except (OSError, TimeoutError, EOFError):
             return False  # The gateway is down or frozen.
         return response.status == 200
+
+
+def _disrupted_vms(fault: models.Fault, vms: int) -> Sequence[int]:
+    """Returns the VMs whose gateways a fault restarts, freezes or cuts off."""
+    match fault:
+        case (
+            models.Kill(vm, _)
+            | models.Stop(vm)
+            | models.Freeze(vm, _)
+            | models.StoreLinkFault(int(vm), _, _)
+        ):
+            return (vm,)
+        case models.StoreLinkFault(None, _, _) | models.ServerLinkFault():
+            return range(vms)
+        case _:
+            return ()
--- a/berylweir/standin/gateway_platform/server.py
+++ b/berylweir/standin/gateway_platform/server.py
@@ -40,14 +40,33 @@
     started_s: float
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Arrival:
+    """A request that arrived, executed or not.
+
+    Attributes:
+        request_id: Id of the request.
+        arrived_s: When it arrived, on the server's clock, in seconds.
+        limit_per_s: Limit that the server named then, if any.
+        is_leaving: Whether it said then that it is leaving.
+        pause_s: Time for which it asked for no requests, in seconds, if it
+            rejected this one and asked so.
+    """
+
+    request_id: str
+    arrived_s: float
+    limit_per_s: float | None
+    is_leaving: bool
+    pause_s: float | None
+
+
 class Server:
     """Executes requests, accepts key grants and injects faults.
 
     Attributes:
         name: Its instance id.
         executions: Requests that it executed, in order of their start.
-        arrivals_s: When requests arrived, also rejected ones, on its clock, in
-            seconds.
+        arrivals: Requests that arrived, also rejected ones, in their order.
         ownership_calls: `grant` or `release` for each such call that it
             carried out.
         next_responses: Responses, mostly faulty, that replace those to the
@@ -58,6 +77,7 @@
         is_leaving: Whether it says that it is shutting down.
         rejection_pause_s: Time for which it asks for no requests with each
             rejection, in seconds; None to ask for none.
+        is_rejecting: Whether it rejects all requests as if it were full.
         in_flight: Number of requests that it is executing.
         choose_grant_delay_s: Returns the delay of a grant in seconds, or None
             to apply it at once. A delayed grant gets no response.
@@ -83,13 +103,14 @@
         """
         self.name = name
         self.executions: list[Execution] = []
-        self.arrivals_s: list[float] = []
+        self.arrivals: list[Arrival] = []
         self.ownership_calls: list[str] = []
         self.next_responses: list[http.Response] = []
         self.service_s = service_s
         self.limit_per_s: float | None = None
         self.is_leaving = False
         self.rejection_pause_s: float | None = None
+        self.is_rejecting = False
         self.in_flight = 0
         self.choose_grant_delay_s: Callable[[], float | None] = lambda: None
         self._slots = slots
@@ -158,16 +179,25 @@
         return http.Response(200, {"Handover": f"from-{self.name}"})
 
     async def _run(self, request: http.Request) -> http.Response:
-        self.arrivals_s.append(self._clock())
         text = request.headers.get("shard-key")
         key = int(text) if text is not None else None
-        if self._is_keyed and (key is None or not self.holds(key)):
+        is_misdirected = self._is_keyed and (key is None or not self.holds(key))
+        is_full = not is_misdirected and (
+            self.is_rejecting or self.in_flight >= self._slots
+        )
+        self.arrivals.append(
+            Arrival(
+                request.headers.get("request-id", ""),
+                self._clock(),
+                self.limit_per_s,
+                self.is_leaving,
+                self.rejection_pause_s if is_full else None,
+            )
+        )
+        if is_misdirected:
             return _reject(request, 421)
-        if self.in_flight >= self._slots:
-            pause = {}
-            if self.rejection_pause_s is not None:
-                pause["Retry-After"] = f"{self.rejection_pause_s:g}"
-            return _reject(request, 503, pause)
+        if is_full:
+            return _reject(request, 503, self._statements(is_rejection=True))
         request_id = request.headers.get("request-id", "")
         deadline = request.headers.get("deadline-ms")
         self.executions.append(
@@ -195,6 +225,24 @@
             return self.next_responses.pop(0)
         return self.build_response(request_id, request.path)
 
+    def restart(self) -> None:
+        """Ends the statements and forgets all keys, as a new start does."""
+        self.limit_per_s = None
+        self.is_leaving = False
+        self._grants.clear()
+        self._highest_tokens.clear()
+
+    def _statements(self, *, is_rejection: bool) -> dict[str, str]:
+        """Returns the headers in which it says something of itself."""
+        headers = {}
+        if self.limit_per_s is not None:
+            headers["Server-Limit"] = f"{self.limit_per_s:g}"
+        if self.is_leaving:
+            headers["Server-Leaving"] = "1"
+        if is_rejection and self.rejection_pause_s is not None:
+            headers["Retry-After"] = f"{self.rejection_pause_s:g}"
+        return headers
+
     def matches_response(
         self, request_id: str, path: str, body: bytes, seal: str
     ) -> bool:
@@ -212,11 +260,8 @@
             "Request-Id": request_id,
             "Response-Seal": seal,
             "Server-Load": f"{self.in_flight},0,{self._slots},100",
+            **self._statements(is_rejection=False),
         }
-        if self.limit_per_s is not None:
-            headers["Server-Limit"] = f"{self.limit_per_s:g}"
-        if self.is_leaving:
-            headers["Server-Leaving"] = "1"
         return http.Response(200, headers, body)
 
 
--- a/tests/gateway/test_server_statements.py
+++ b/tests/gateway/test_server_statements.py
@@ -64,7 +64,9 @@
                 await asyncio.sleep(0.01)
             assert first_said_s is not None
             late = [
-                s for s in leaving.arrivals_s if s > first_said_s + _DRAIN_S
+                a
+                for a in leaving.arrivals
+                if a.arrived_s > first_said_s + _DRAIN_S
             ]
             assert late == []
             assert statuses.count(200) > 0.9 * len(statuses)
@@ -88,7 +90,7 @@
                 replies.append(await gateway.ask("/r/x", f"a{number}"))
                 await asyncio.sleep(0.02)
             assert {r.status for r in replies} == {503}
-            assert len(server.arrivals_s) == 1
+            assert len(server.arrivals) == 1
             waits_s = [float(r.headers["retry-after"]) for r in replies[1:]]
             assert max(waits_s) <= 2.0
             assert waits_s == sorted(waits_s, reverse=True)
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -9,6 +9,8 @@
 from berylweir.soak import runner
 
 _SECONDS = 14.0
+# Length of the soaks that check what servers say of themselves, in seconds.
+_STATEMENT_SECONDS = 30.0
 # Seeds that failed once, each with the cause of its failure.
 _REGRESSIONS = (
     2,  # SIGHUP ended a gateway that had just started.
@@ -23,6 +25,17 @@
         """Guards against failures that tests of single parts don't show."""
         assert await runner.Soak(seed, _SECONDS, tmp_path).run() == []
 
+    @pytest.mark.parametrize("seed", [1, 4])
+    async def test_statements_of_servers_are_heeded(
+        self, seed: int, tmp_path: pathlib.Path
+    ):
+        """Guards against limits, pauses, leaving servers and restored stores.
+
+        With these seeds, gateways that don't know them break several rules.
+        """
+        soak = runner.Soak(seed, _STATEMENT_SECONDS, tmp_path)
+        assert await soak.run() == []
+
 
 class TestFaultSchedule:
     """Schedule of the faults of a soak."""
