--- a/berylweir/gateway/permits/decisions.py
+++ b/berylweir/gateway/permits/decisions.py
@@ -19,7 +19,7 @@
 _MIN_RATE = 0.1
 # Requests that may follow each other at once after a pause: a number, and those
 # of a time in seconds. Requests don't arrive evenly spaced.
-_MIN_BURST = 2.0
+_MIN_BURST = 3.0
 _BURST_S = 0.25
 # Fraction of the limit that a VM grants in place of the counter. The counter
 # may still grant to other VMs.
