Split what grew in the dispatcher, the lease and the store's client

Change: refusals, leaving instances, shares of slow starts, the recovery of key tables and the store's generation have modules or classes of their own. Nothing else changes.

--- a/berylweir/gateway/dispatch/slow_start.py
+++ b/berylweir/gateway/dispatch/slow_start.py
@@ -52,6 +52,44 @@
     return SlowStartShare(_RATE_SHARE * rate / sender_count)
 
 
+class SlowStartShares:
+    """Shares of this VM in the rates of cold servers."""
+
+    def __init__(self, vm: str, burst_slack: float) -> None:
+        """Creates the shares of a VM that knows no other one.
+
+        Args:
+            vm: Name of this VM.
+            burst_slack: Requests that a server tolerates in a second beyond
+                the rate.
+        """
+        self._vm = vm
+        self._burst_slack = burst_slack
+        self._vms: Collection[str] = ()
+        # The key is the name of the server and the rate that it tolerates.
+        self._shares: dict[tuple[str, float], SlowStartShare] = {}
+
+    def update_vms(self, vms: Collection[str]) -> None:
+        """Replaces the names of all VMs."""
+        self._vms = vms
+        self._shares.clear()
+
+    def of(self, server: str, rate: float) -> SlowStartShare:
+        """Returns the share of a server.
+
+        Args:
+            server: Name of the server.
+            rate: Requests per second that it tolerates.
+        """
+        key = (server, rate)
+        share = self._shares.get(key)
+        if share is None:
+            share = self._shares[key] = compute_share(
+                self._vm, self._vms, server, rate, self._burst_slack
+            )
+        return share
+
+
 class Pacer:
     """Spaces requests evenly; unused time doesn't allow a later burst."""
 
--- a/berylweir/gateway/dispatch/task.py
+++ b/berylweir/gateway/dispatch/task.py
@@ -11,8 +11,10 @@
 from berylweir.gateway import messages
 from berylweir.gateway import models
 from berylweir.gateway.dispatch import decisions
+from berylweir.gateway.dispatch import leaving
 from berylweir.gateway.dispatch import models as dispatch
 from berylweir.gateway.dispatch import reachability
+from berylweir.gateway.dispatch import refusals
 from berylweir.gateway.dispatch import retry_budget
 from berylweir.gateway.dispatch import slow_start
 from berylweir.gateway.dispatch import statement_log
@@ -25,8 +27,6 @@
 # Share of a server's connection limit that the VMs divide among themselves for
 # idle connections.
 _CONNECTION_LIMIT_SHARE = 0.8
-# Shortest Retry-After of a refused request, in seconds.
-_RETRY_AFTER_S = 0.25
 # Retry-After while the owner of a key is unreachable, in seconds. Its grant
 # expires after up to 3 s; callers wait for at most a third of their deadline.
 _UNREACHABLE_RETRY_AFTER_S = 1.0
@@ -37,8 +37,6 @@
 # Fraction of the time until which a leaving server may get requests for which
 # it still gets those that no other server can run.
 _LEAVING_USE_SHARE = 0.6
-# Number of leaving instances that are remembered, also without an entry.
-_MAX_LEAVING = 1000
 
 Inbox = mailbox.Mailbox[messages.DispatcherMessage]
 _Reason = messages.RefusalReason
@@ -95,13 +93,10 @@
         self._waiting_requests: list[messages.PlaceRequest] = []
         self._reachability = reachability.ReachabilityTracker()
         self._statement_log = statement_log.StatementLog(metrics)
-        # Instances that said that they are leaving, oldest first. They don't
-        # return, even if their entries do.
-        self._leaving_since_s: dict[models.ServerInstance, float] = {}
-        # The key is the name of the server and the rate that it tolerates.
-        self._slow_start_shares: dict[
-            tuple[str, float], slow_start.SlowStartShare
-        ] = {}
+        self._leaving = leaving.LeavingInstances()
+        self._slow_start_shares = slow_start.SlowStartShares(
+            environment.vm, environment.bounds.cold_slack
+        )
 
     async def run(self, context: supervision.ChildContext) -> None:
         """Handles messages until the supervisor stops the child."""
@@ -146,7 +141,7 @@
                     group.table = table
             case messages.VmsChanged(vms):
                 self._vms = vms
-                self._slow_start_shares.clear()
+                self._slow_start_shares.update_vms(vms.keys())
             case messages.LeaseChanged():
                 pass
             case messages.CollectKeyUsage(reply):
@@ -186,7 +181,7 @@
             state = self._servers.get(instance)
             if state is None:
                 state = dispatch.ServerState(server)
-                state.leaving_since_s = self._leaving_since_s.get(instance)
+                state.leaving_since_s = self._leaving.since_s(instance)
                 self._servers[instance] = state
                 if server.cold_ms > 0:
                     state.cold_until_s = now_s + server.cold_ms / 1000.0
@@ -235,7 +230,7 @@
         now_s = self._now_s()
         if group is None:
             self._refuse_request(
-                place_request, _create_refusal(_Reason.NO_SERVER)
+                place_request, refusals.create(_Reason.NO_SERVER)
             )
             return
         if not requirements.is_retry:
@@ -245,11 +240,11 @@
         refusal = self._try_place(place_request, now_s)
         if refusal is None:
             return
-        if _cannot_be_placed_in_time(requirements, refusal, now_s):
+        if refusals.cannot_be_placed_in_time(requirements, refusal, now_s):
             self._refuse_request(place_request, refusal)
             return
         self._waiting_requests.append(place_request)
-        self._waiting_requests.sort(key=_waiting_order)
+        self._waiting_requests.sort(key=refusals.waiting_order)
 
     def _retry_waiting_requests(self) -> None:
         now_s = self._now_s()
@@ -260,7 +255,7 @@
             refusal = self._try_place(place_request, now_s)
             if refusal is None:
                 continue
-            if _cannot_be_placed_in_time(
+            if refusals.cannot_be_placed_in_time(
                 place_request.requirements, refusal, now_s
             ):
                 self._refuse_request(place_request, refusal)
@@ -303,15 +298,15 @@
             owner is not None
             and owner == place_request.requirements.rejecting_instance
         ):
-            return _create_refusal(_Reason.NO_OWNER)
+            return refusals.create(_Reason.NO_OWNER)
         if state is None or not self._is_eligible(state):
-            return _create_refusal(_Reason.NO_OWNER)
+            return refusals.create(_Reason.NO_OWNER)
         if not self._reachability.allows_request(state.server, now_s):
             return messages.NotPlaced(
                 _Reason.UNREACHABLE, _UNREACHABLE_RETRY_AFTER_S
             )
         if not self._is_within_slow_start_rate(state, group.settings, now_s):
-            return _create_refusal(_Reason.COLD)
+            return refusals.create(_Reason.COLD)
         availability = decisions.check_statements(
             state,
             place_request.requirements.queue_deadline_s,
@@ -319,11 +314,11 @@
             leaving_use_s=_LEAVING_USE_SHARE * self._bounds.drain_s,
         )
         if not isinstance(availability, decisions.Available):
-            return _refuse_unavailable(
+            return refusals.refuse_unavailable(
                 [availability], now_s, all_leaving=_Reason.NO_OWNER
             )
         if decisions.is_full(state, now_s):
-            return _create_refusal(
+            return refusals.create(
                 _Reason.FULL, decisions.time_until_capacity_s(state, now_s)
             )
         return self._assign_server(place_request, state, group, now_s)
@@ -341,14 +336,14 @@
             s for s in group_servers if self._is_eligible(s)
         ]
         if not eligible:
-            return _create_refusal(_Reason.NO_SERVER)
+            return refusals.create(_Reason.NO_SERVER)
         within_rate = [
             s
             for s in eligible
             if self._is_within_slow_start_rate(s, group.settings, now_s)
         ]
         if not within_rate:
-            return _create_refusal(_Reason.COLD)
+            return refusals.create(_Reason.COLD)
         available = self._select_available(within_rate, requirements, now_s)
         match available:
             case messages.NotPlaced():
@@ -377,7 +372,7 @@
             capacity_wait_s = min(
                 decisions.time_until_capacity_s(s, now_s) for s in untried
             )
-            return _create_refusal(_Reason.FULL, capacity_wait_s)
+            return refusals.create(_Reason.FULL, capacity_wait_s)
         return self._assign_server(place_request, state, group, now_s)
 
     def _select_available(
@@ -408,7 +403,7 @@
             ]
             if available:
                 return available
-        return _refuse_unavailable(
+        return refusals.refuse_unavailable(
             availabilities, now_s, all_leaving=_Reason.NO_SERVER
         )
 
@@ -429,25 +424,12 @@
             return True
         return (
             state.pacer.delay_s(now_s) <= 0
-            and self._slow_start_share(state, settings).rate > 0
+            and self._slow_start_shares.of(
+                state.server.name, settings.cold_per_s
+            ).rate
+            > 0
         )
 
-    def _slow_start_share(
-        self, state: dispatch.ServerState, settings: models.ServerGroup
-    ) -> slow_start.SlowStartShare:
-        key = (state.server.name, settings.cold_per_s)
-        share = self._slow_start_shares.get(key)
-        if share is None:
-            share = slow_start.compute_share(
-                self._vm,
-                self._vms.keys(),
-                state.server.name,
-                settings.cold_per_s,
-                self._bounds.cold_slack,
-            )
-            self._slow_start_shares[key] = share
-        return share
-
     def _assign_server(
         self,
         place_request: messages.PlaceRequest,
@@ -459,11 +441,14 @@
         if place_request.requirements.is_retry and not group.budget.try_acquire(
             now_s, len(self._vms)
         ):
-            return _create_refusal(_Reason.RETRY_BUDGET)
+            return refusals.create(_Reason.RETRY_BUDGET)
         settings = group.settings
         if state.cold_until_s > now_s and settings.cold_per_s > 0:
             state.pacer.record_request(
-                now_s, self._slow_start_share(state, settings).rate
+                now_s,
+                self._slow_start_shares.of(
+                    state.server.name, settings.cold_per_s
+                ).rate,
             )
         placement = messages.Placement(
             state.server,
@@ -517,8 +502,12 @@
             return
         state.finish_request(finished, now_s, max(1, len(self._vms)))
         self._statement_log.record(state, finished.statements, now_s)
-        if state.leaving_since_s is not None:
-            self._remember_leaving(state)
+        if state.leaving_since_s is not None and self._leaving.remember(
+            state.server.instance, state.leaving_since_s
+        ):
+            state.pool.close()
+            if not state.server.is_draining:
+                self._on_server_leaving()
         self._reachability.record_result(
             state.server, finished.attempt_result, now_s
         )
@@ -527,17 +516,6 @@
                 state, connection, finished.keep_alive_timeout_s, now_s
             )
 
-    def _remember_leaving(self, state: dispatch.ServerState) -> None:
-        instance = state.server.instance
-        if state.leaving_since_s is None or instance in self._leaving_since_s:
-            return
-        self._leaving_since_s[instance] = state.leaving_since_s
-        if len(self._leaving_since_s) > _MAX_LEAVING:
-            del self._leaving_since_s[next(iter(self._leaving_since_s))]
-        state.pool.close()
-        if not state.server.is_draining:
-            self._on_server_leaving()
-
     # Connections
 
     def _release_connection(
@@ -572,62 +550,3 @@
 
     def _now_s(self) -> float:
         return asyncio.get_running_loop().time()
-
-
-def _create_refusal(
-    reason: _Reason, capacity_wait_s: float = 0.0
-) -> messages.NotPlaced:
-    return messages.NotPlaced(
-        reason, max(_RETRY_AFTER_S, capacity_wait_s), capacity_wait_s
-    )
-
-
-def _refuse_unavailable(
-    availabilities: Sequence[decisions.Availability],
-    now_s: float,
-    *,
-    all_leaving: _Reason,
-) -> messages.NotPlaced:
-    """Returns the refusal if no server is available by its statements.
-
-    Args:
-        availabilities: Why each server isn't available.
-        now_s: Time on the loop's clock, in seconds.
-        all_leaving: Reason to state if all of them are leaving.
-    """
-    first: tuple[float, _Reason] | None = None
-    for availability in availabilities:
-        match availability:
-            case decisions.Paused(until_s):
-                candidate = until_s, _Reason.PAUSED
-            case decisions.LimitReached(until_s):
-                candidate = until_s, _Reason.LIMITED
-            case decisions.Leaving() | decisions.Available():
-                continue
-            case _:
-                typing.assert_never(availability)
-        if first is None or candidate[0] < first[0]:
-            first = candidate
-    if first is None:
-        return _create_refusal(all_leaving)
-    return _create_refusal(first[1], max(0.0, first[0] - now_s))
-
-
-def _cannot_be_placed_in_time(
-    requirements: messages.ServerRequirements,
-    refusal: messages.NotPlaced,
-    now_s: float,
-) -> bool:
-    """Returns whether no server is expected before the request's deadlines."""
-    if refusal.reason in (_Reason.RETRY_BUDGET, _Reason.UNREACHABLE):
-        return True
-    if refusal.reason is _Reason.NO_OWNER:
-        return requirements.owner_wait_deadline_s <= now_s
-    return requirements.queue_deadline_s <= now_s + refusal.capacity_wait_s
-
-
-def _waiting_order(place_request: messages.PlaceRequest) -> tuple[int, float]:
-    return (
-        place_request.requirements.priority,
-        place_request.requirements.queue_deadline_s,
-    )
--- a/berylweir/gateway/ownership/lease.py
+++ b/berylweir/gateway/ownership/lease.py
@@ -20,6 +20,7 @@
 from berylweir.gateway.ownership import election
 from berylweir.gateway.ownership import grant_expiry
 from berylweir.gateway.ownership import holder_check
+from berylweir.gateway.ownership import table_recovery
 from berylweir.gateway.peers import messages as peers
 from berylweir.gateway.peers import task as peer_task
 from berylweir.observability import counters
@@ -474,8 +475,16 @@
         own_lease, previous = self._lease, self._previous_lease
         if own_lease is None:
             return
-        if not await self._recover_tables(own_lease, previous):
-            return
+        if previous is not None:
+            await table_recovery.recover(
+                self._local_vm,
+                own_lease,
+                previous,
+                self._holder_check,
+                self._on_newer_tables,
+            )
+            if self._lease is not own_lease:
+                return
         self._acting_epoch = own_lease.epoch
         predecessors_stop_s = clock.boot_s()
         if previous is not None:
@@ -496,35 +505,6 @@
             },
         )
 
-    async def _recover_tables(
-        self, own_lease: models.Lease, previous: models.Lease | None
-    ) -> bool:
-        """Gets the newest key tables after the store was restored.
-
-        The restored store may have lost changes of the tables, but the other
-        gateways know them. If the previous holder can't be asked, its last
-        grants expire first, since no gateway may know its last changes.
-
-        Args:
-            own_lease: The lease that this gateway has acquired.
-            previous: The lease before it, if any.
-
-        Returns:
-            Whether this gateway still holds the lease.
-        """
-        if previous is None or revisions.epoch_generation(
-            previous.epoch
-        ) == revisions.epoch_generation(own_lease.epoch):
-            return True
-        statuses = await self._holder_check.collect_statuses(own_lease)
-        for vm in statuses.vms_by_table_revision():
-            await self._on_newer_tables(vm)
-        if not self._is_own(previous) and not statuses.includes(
-            previous.holder, previous.incarnation
-        ):
-            await asyncio.sleep(grant_expiry.max_grant_lifetime_s())
-        return self._lease is own_lease
-
     def _handle_conflict(self, conflict: exceptions.Conflict) -> None:
         stored = store.decode_conflict(conflict)
         if stored is None:
--- a/berylweir/gateway/supervisor.py
+++ b/berylweir/gateway/supervisor.py
@@ -27,6 +27,7 @@
 from berylweir.platform import requests
 from berylweir.platform import settings
 from berylweir.platform import store
+from berylweir.platform import store_generation
 from berylweir.supervision import models as supervision
 from berylweir.supervision import supervisor
 
@@ -71,10 +72,10 @@
         size=environment.size,
     )
 
-    store_generation = store.StoreGeneration()
+    generation = store_generation.StoreGeneration()
 
     def create_client() -> store.StoreClient:
-        return store.StoreClient(address, store_generation)
+        return store.StoreClient(address, generation)
 
     dispatch_inbox = dispatch.create_inbox()
     keeper_inbox = ownership.create_inbox()
--- a/berylweir/platform/store.py
+++ b/berylweir/platform/store.py
@@ -5,7 +5,6 @@
 from collections.abc import Iterable
 import contextlib
 import dataclasses
-import logging
 from typing import Annotated
 from typing import TypeVar
 import urllib.parse
@@ -17,6 +16,7 @@
 from berylweir.platform import exceptions
 from berylweir.platform import nesting
 from berylweir.platform import settings
+from berylweir.platform import store_generation
 from berylweir.router.backends import connection as http
 from berylweir.router.backends import exceptions as http_exceptions
 
@@ -31,7 +31,6 @@
 # Highest generation that is taken from a response. It rises by one with each
 # restoration.
 _MAX_GENERATION = 1_000_000
-_LOGGER = logging.getLogger(__name__)
 _T = TypeVar("_T")
 
 
@@ -130,41 +129,6 @@
 _ITEM_DEPTH = 2
 
 
-class StoreGeneration:
-    """Generation of the store, shared by all clients of a process.
-
-    It rises when the store comes back from an older copy. What was written
-    since the copy was made is gone then, and revisions are given out again.
-    """
-
-    def __init__(self) -> None:
-        """Creates the generation of a store that was never called."""
-        self._current: int | None = None
-        self._listeners: list[Callable[[], None]] = []
-
-    @property
-    def current(self) -> int:
-        """Highest generation that a response named; 0 if none did."""
-        return self._current or 0
-
-    def subscribe(self, listener: Callable[[], None]) -> None:
-        """Has a function called after each restoration of the store."""
-        self._listeners.append(listener)
-
-    def record(self, generation: int) -> None:
-        """Records the generation that a response names."""
-        if self._current is not None and generation <= self._current:
-            return
-        before, self._current = self._current, generation
-        if before is None:
-            return
-        _LOGGER.warning(
-            "store restored", extra={"before": before, "generation": generation}
-        )
-        for listener in self._listeners:
-            listener()
-
-
 @dataclasses.dataclass(frozen=True, slots=True)
 class _Response:
     """A successful response of the store.
@@ -188,7 +152,7 @@
     def __init__(
         self,
         address: settings.StoreAddress,
-        generation: StoreGeneration | None = None,
+        generation: store_generation.StoreGeneration | None = None,
     ) -> None:
         """Creates a client without opening a connection.
 
@@ -198,7 +162,7 @@
                 share; None for a client of its own.
         """
         self._address = address
-        self._generation = generation or StoreGeneration()
+        self._generation = generation or store_generation.StoreGeneration()
         self._generation.subscribe(self._on_store_restored)
         self._connection: http.Connection | None = None
         self._is_watching = False
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -12,6 +12,7 @@
 from berylweir.platform import exceptions
 from berylweir.platform import settings
 from berylweir.platform import store
+from berylweir.platform import store_generation
 from berylweir.standin.gateway_platform import http
 from berylweir.standin.gateway_platform import store as store_standin
 
@@ -176,7 +177,7 @@
     async def test_waiting_watch_of_another_client_ends(self, store_and_client):
         """Guards against a watch that waits for a revision of before."""
         fake_store, client = store_and_client
-        generation = store.StoreGeneration()
+        generation = store_generation.StoreGeneration()
         address = client._address
         first = store.StoreClient(address, generation)
         second = store.StoreClient(address, generation)
