Wait for an earlier keeper before an inherited move is completed

Keys had two owners for up to 14 s: a server that had released them was granted them again by a keeper that had been replaced while it was frozen.

Cause: a keeper wrote a move, was frozen before the response came, and went on renewing the grants of the source with its old token when it was thawed. The next keeper executed the move: the source accepted the release, but had never accepted a higher token, so it took the old grant. Only the targets of inherited moves counted as servers that an earlier keeper may still grant keys to.

--- a/berylweir/gateway/ownership/granting.py
+++ b/berylweir/gateway/ownership/granting.py
@@ -99,9 +99,10 @@
         self._move_tasks: dict[RangeMove, asyncio.Task[None]] = {}
         self._released_moves: set[RangeMove] = set()
         self._completed_moves: set[RangeMove] = set()
-        # Ranges in moves that an earlier keeper started, by the target of the
-        # move. The earlier keeper may still grant such a range to its target
-        # until the target has accepted one of this keeper's tokens for it.
+        # Ranges in moves that an earlier keeper started, by source and target
+        # of the move. The earlier keeper may still grant such a range to its
+        # target, or to its source if it got no response when it wrote the move,
+        # until that server has accepted one of this keeper's tokens for it.
         self._unfenced_ranges: dict[
             models.ServerInstance, set[tuple[int, int]]
         ] = {}
@@ -226,14 +227,13 @@
             return
         self._inherited_moves_recorded.add(table.group)
         for key_range in table.ranges:
-            if (
-                key_range.previous_owner is not None
-                and key_range.owner is not None
-            ):
-                unfenced = self._unfenced_ranges.setdefault(
-                    key_range.owner, set()
-                )
-                unfenced.add((key_range.first, key_range.last))
+            if key_range.previous_owner is None:
+                continue
+            for instance in (key_range.previous_owner, key_range.owner):
+                if instance is not None:
+                    self._unfenced_ranges.setdefault(instance, set()).add(
+                        (key_range.first, key_range.last)
+                    )
 
     # Renewals
 
--- a/tests/gateway/ownership/test_granting.py
+++ b/tests/gateway/ownership/test_granting.py
@@ -98,6 +98,64 @@
         )
 
 
+class TestInheritedMoves:
+    """Moves that an earlier keeper wrote, but may not know of."""
+
+    async def move(self, confirmed: bool) -> float:
+        """Returns when the target of a move is granted its keys.
+
+        Args:
+            confirmed: Whether the earlier keeper is known to have stopped.
+
+        Returns:
+            The time in seconds, from the start of the epoch.
+        """
+        source, target, _ = _INSTANCES
+        table = tables.raise_tokens(
+            tables.start_moves(
+                tables.create("g", [source], 1), [ownership.Move(0, 99, target)]
+            ),
+            2,
+        )
+        servers = {s: FakeServer(range(0)) for s in (source, target)}
+        granter = granting.Granter(
+            {"g": table}.get,
+            lambda: True,
+            lambda: None,
+            lambda: None,
+            lambda: None,
+            counters.Counters(),
+        )
+        granter._clients.update(servers)
+        started_s = clock.boot_s()
+        granter.start_epoch(started_s + _EARLIER_KEEPER_ACTS_S)
+        if confirmed:
+            granter.confirm_predecessors_stopped()
+        granter.apply_table(table)
+        async with asyncio.timeout(30.0):
+            while 0 not in servers[target].granted_s:
+                await asyncio.sleep(0.01)
+        granter.close()
+        return servers[target].granted_s[0] - started_s
+
+    async def test_released_keys_wait_for_an_earlier_keeper_that_may_act(self):
+        """Guards against a source that an earlier keeper grants keys again.
+
+        The earlier keeper wrote the move, got no response and goes on renewing
+        the grants of the source, which has accepted no higher token.
+        """
+        waited_s = await self.move(confirmed=False)
+        assert (
+            waited_s >= _EARLIER_KEEPER_ACTS_S + grant_expiry.GRANT_DURATION_S
+        )
+
+    async def test_released_keys_wait_for_late_grants_only(self):
+        """Guards against a longer wait if the earlier keeper has stopped."""
+        waited_s = await self.move(confirmed=True)
+        assert waited_s >= grant_expiry.GRANT_DURATION_S
+        assert waited_s < _EARLIER_KEEPER_ACTS_S + grant_expiry.GRANT_DURATION_S
+
+
 class SlowServer(FakeServer):
     """A server that applies grants without responding to them."""
 
