Refuse settings that take servers for lost between two responses

Operators could set such values as well.

Change: the settings check refuses a server_loss_s below twice renew_s (conf.E113).

--- a/berylweir/conf/checks.py
+++ b/berylweir/conf/checks.py
@@ -57,6 +57,18 @@
                 f"set at least {lease.lease_s * MAX_CLOCK_RATE_DIFFERENCE:.3f}",
             )
         )
+    if lease.server_loss_s < 2 * lease.renew_s:
+        faults.append(
+            exceptions.SettingsFault(
+                "conf.E113",
+                "lease",
+                "server_loss_s",
+                str(lease.server_loss_s),
+                "a server responds every renew_s, so it would count as lost "
+                "between two responses",
+                f"set at least {2 * lease.renew_s:.3f}",
+            )
+        )
     recovery_s = lease.server_loss_s + lease.lease_s + lease.margin_s
     if recovery_s >= RECOVERY_TARGET_S:
         faults.append(
--- a/berylweir/conf/schemas.py
+++ b/berylweir/conf/schemas.py
@@ -55,7 +55,7 @@
         margin_s: Additional wait after a lease has expired, because clocks run
             at different rates.
         server_loss_s: Time without a response after which a backend server is
-            considered lost.
+            considered lost; at least twice `renew_s`.
         home_loss_s: Time without a message after which another entry VM is
             considered lost.
         silent_pair_s: Time without a message of both holder and standby after
--- a/tests/conf/test_loading.py
+++ b/tests/conf/test_loading.py
@@ -43,6 +43,16 @@
         ).unwrap_err()
         assert [f.id for f in faults] == ["conf.E103"]
 
+    def test_detection_between_two_responses_is_refused(self):
+        """Guards against servers that count as lost while they respond."""
+        faults = loading.parse(
+            _VALID + "[lease]\nrenew_s = 0.1\nserver_loss_s = 0.1\n"
+        ).unwrap_err()
+        assert [f.id for f in faults] == ["conf.E113"]
+        loading.parse(
+            _VALID + "[lease]\nrenew_s = 0.1\nserver_loss_s = 0.2\n"
+        ).unwrap()
+
     def test_unreadable_file_is_a_fault(self, tmp_path: pathlib.Path):
         """Guards against a traceback instead of an error message."""
         faults = conf.load(tmp_path / "missing.ini").unwrap_err()
