Name a server's limit alike everywhere, and shorten the choice of its counter

Cause: a server's limit was called max_rate in the dispatcher and limit elsewhere, and the steps to a permit took two nested conditions to read.

What is decided is the same.

--- a/berylweir/gateway/dispatch/decisions.py
+++ b/berylweir/gateway/dispatch/decisions.py
@@ -137,7 +137,7 @@
         return Leaving()
     if state.paused_until_s > now_s:
         return Paused(state.paused_until_s)
-    if state.max_rate is not None and state.permit_available_s > deadline_s:
+    if state.limit is not None and state.permit_available_s > deadline_s:
         return LimitReached(state.permit_available_s)
     return Available()
 
--- a/berylweir/gateway/dispatch/models.py
+++ b/berylweir/gateway/dispatch/models.py
@@ -63,7 +63,7 @@
             consecutive failures, on the loop's clock, in seconds.
         full_until_s: Until when it counts as full after a rejection, on the
             loop's clock, in seconds.
-        max_rate: Requests per second that the server takes from all VMs
+        limit: Requests per second that the server takes from all VMs
             together, as it stated; None if it stated no limit.
         permit_available_s: When that limit allows another request, on the
             loop's clock, in seconds; in the past unless a permit was denied.
@@ -87,7 +87,7 @@
     service_ms: float = 0.0
     ejected_until_s: float = float("-inf")
     full_until_s: float = float("-inf")
-    max_rate: float | None = None
+    limit: float | None = None
     permit_available_s: float = float("-inf")
     leaving_since_s: float | None = None
     paused_until_s: float = float("-inf")
@@ -209,9 +209,9 @@
             self.cold_until_s = now_s + statements.cold_ms / 1000.0
         match statements.rate_limit:
             case models.RateLimited(per_s):
-                self.max_rate = per_s
+                self.limit = per_s
             case models.NotRateLimited():
-                self.max_rate = None
+                self.limit = None
             case models.RateLimitUnstated() | models.RateLimitInvalid():
                 pass
             case _:
--- a/berylweir/gateway/dispatch/statement_log.py
+++ b/berylweir/gateway/dispatch/statement_log.py
@@ -90,7 +90,7 @@
             case _:
                 typing.assert_never(statement)
         logged_rate = self._logged_rates.get(instance)
-        rate = state.max_rate
+        rate = state.limit
         if rate is None:
             if logged_rate is not None:
                 del self._logged_rates[instance]
--- a/berylweir/gateway/dispatch/task.py
+++ b/berylweir/gateway/dispatch/task.py
@@ -34,8 +34,8 @@
 # decay with time, so a server may get capacity without a message.
 _WAITING_RETRY_INTERVAL_S = 0.02
 
-# Fraction of the time until which a leaving server may get requests for which
-# it still gets those that no other server can run.
+# A leaving server still gets requests that no other server can run, for this
+# fraction of the time that the platform allows.
 _LEAVING_USE_SHARE = 0.6
 
 Inbox = mailbox.Mailbox[messages.DispatcherMessage]
@@ -209,14 +209,14 @@
             if (
                 state.served
                 or state.failed
-                or state.max_rate is not None
+                or state.limit is not None
                 or is_leaving
             ):
                 servers[state.server.name] = messages.ServerUsage(
                     state.served,
                     state.failed,
                     state.service_ms,
-                    state.max_rate,
+                    state.limit,
                     state.server.born_ms if is_leaving else None,
                 )
                 state.served = state.failed = 0
@@ -459,7 +459,7 @@
             ),
             now_s,
             state.estimated_load(now_s),
-            state.max_rate,
+            state.limit,
         )
         state.start_request()
         self._reachability.record_attempt(state.server, now_s)
--- a/berylweir/gateway/permits/decisions.py
+++ b/berylweir/gateway/permits/decisions.py
@@ -128,6 +128,9 @@
     avoided_until_s: float = float("-inf")
 
 
+_RESPONDING = _VmHealth("")
+
+
 class CounterSelector:
     """Selects the VM that counts the requests to a server.
 
@@ -179,17 +182,12 @@
             if name == self._local_vm.name:
                 steps.append(CountHere(rate))
                 return steps
-            health = self._health.get(name)
-            if health is not None:
-                if now_s - health.silent_since_s >= _GONE_S:
-                    if now_s >= health.avoided_until_s:
-                        steps.append(AskVm(self._vms[name], rate))
-                    continue
-                if now_s < health.avoided_until_s:
-                    is_substitute = True
-                    continue
-            steps.append(AskVm(self._vms[name], rate))
-            is_substitute = True
+            health = self._health.get(name, _RESPONDING)
+            if now_s >= health.avoided_until_s:
+                steps.append(AskVm(self._vms[name], rate))
+            if now_s < health.silent_since_s + _GONE_S:
+                # It may still count for other VMs.
+                is_substitute = True
         steps.append(UseOwnShare(_SUBSTITUTE_SHARE * limit / len(self._vms)))
         return steps
 
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -15,6 +15,10 @@
 _REGRESSIONS = (
     2,  # SIGHUP ended a gateway that had just started.
 )
+# The same for soaks of `_STATEMENT_SECONDS`.
+_STATEMENT_REGRESSIONS = (
+    46,  # A source of an inherited move took a grant of the earlier keeper.
+)
 
 
 class TestSoak:
@@ -25,7 +29,7 @@
         """Guards against failures that tests of single parts don't show."""
         assert await runner.Soak(seed, _SECONDS, tmp_path).run() == []
 
-    @pytest.mark.parametrize("seed", [1, 4])
+    @pytest.mark.parametrize("seed", [1, 4, *_STATEMENT_REGRESSIONS])
     async def test_statements_of_servers_are_heeded(
         self, seed: int, tmp_path: pathlib.Path
     ):
