Ignore numbers in headers that are not finite

Cause: `Server-Load: nan,0,3` ended the request of a caller with an unhandled error, as did a content length of `inf`; a slowness of `nan` made all scores of a server incomparable; a caller's deadline of `nan` was no deadline.

Change: the parser of numbers takes finite ones only, and everything else counts as malformed, as text does.

Measured: test_numbers_that_are_not_finite_are_ignored and test_deadline_that_is_not_finite_is_ignored fail before (ValueError, nan), and pass after; 19 passed.

--- a/berylweir/platform/requests.py
+++ b/berylweir/platform/requests.py
@@ -289,7 +289,7 @@
             models.NotRateLimited() if is_signed else models.RateLimitUnstated()
         )
     per_s = _parse_number(value)
-    if per_s is None or not math.isfinite(per_s) or per_s < 0:
+    if per_s is None or per_s < 0:
         return models.RateLimitInvalid(value[:40].decode("latin-1"))
     return models.RateLimited(per_s)
 
@@ -301,7 +301,7 @@
     if status != 503 or value is None:
         return None
     duration_s = _parse_number(value)
-    if duration_s is None or not math.isfinite(duration_s) or duration_s < 0:
+    if duration_s is None or duration_s < 0:
         return models.PauseInvalid(value[:40].decode("latin-1"))
     return models.Pause(min(duration_s, _MAX_PAUSE_S))
 
@@ -317,7 +317,9 @@
 
 
 def _parse_number(value: bytes) -> float | None:
+    """Returns a finite number; None if the text is none."""
     try:
-        return float(value)
+        number = float(value)
     except ValueError:
         return None
+    return number if math.isfinite(number) else None
--- a/tests/platform/test_messages.py
+++ b/tests/platform/test_messages.py
@@ -85,6 +85,39 @@
         response = requests.decode_response(status, headers)
         assert response.status == status
 
+    @hypothesis.given(
+        st.sampled_from(("nan", "inf", "-inf", "1e999", "1" * 400)),
+        st.sampled_from(
+            (
+                "server-load: {},0,3",
+                "server-load: 1,{},3",
+                "server-load: 1,0,{}",
+                "server-load: 1,0,3,{}",
+                "warmup-ms: {}",
+                "content-length: {}",
+                "keep-alive: timeout={}",
+            )
+        ),
+    )
+    def test_numbers_that_are_not_finite_are_ignored(self, number, header):
+        """Guards against `nan` that ends a request or spoils an estimate."""
+        name, _, value = header.format(number).partition(": ")
+        response = requests.decode_response(
+            200, [(name.encode(), value.encode())]
+        )
+        assert response.statements.load is None
+        assert response.statements.cold_ms is None
+        assert response.content_length is None
+        assert response.keep_alive_timeout_s is None
+
+    def test_deadline_that_is_not_finite_is_ignored(self):
+        """Guards against a request that never times out, or always does."""
+        for value in (b"nan", b"inf", b"1e999"):
+            head = requests.decode_request(
+                "GET", b"/", [(b"deadline-ms", value)]
+            )
+            assert head.deadline_ms is None
+
     def test_server_load_is_decoded(self):
         """Guards against a wrong order of the fields of `server-load`."""
         response = requests.decode_response(
