--- a/berylweir/gateway/dispatch/task.py
+++ b/berylweir/gateway/dispatch/task.py
@@ -345,11 +345,8 @@
         if not within_rate:
             return refusals.create(_Reason.COLD)
         available = self._select_available(within_rate, requirements, now_s)
-        match available:
-            case messages.NotPlaced():
-                return available
-            case _:
-                pass
+        if isinstance(available, messages.NotPlaced):
+            return available
         reachable = [
             s
             for s in available
--- a/tests/gateway/ownership/test_granting.py
+++ b/tests/gateway/ownership/test_granting.py
@@ -1,6 +1,7 @@
 """Tests of the renewal of grants and the execution of moves."""
 
 import asyncio
+from collections.abc import Mapping
 import dataclasses
 
 from berylweir.gateway import clock
@@ -19,6 +20,25 @@
 _EARLIER_KEEPER_ACTS_S = 0.5
 
 
+def create_granter(
+    tables_by_group: Mapping[str, models.KeyTable],
+    servers: Mapping[models.ServerInstance, "FakeServer"],
+    **options,
+) -> granting.Granter:
+    """Returns a granter that may act and reaches the servers."""
+    granter = granting.Granter(
+        tables_by_group.get,
+        lambda: True,
+        lambda: None,
+        lambda: None,
+        lambda: None,
+        counters.Counters(),
+        **options,
+    )
+    granter._clients.update(servers)
+    return granter
+
+
 class FakeServer:
     """Accepts commands except for keys whose commands can't be sent.
 
@@ -68,15 +88,7 @@
             target: FakeServer(moved_keys),
             new_target: FakeServer(range(0)),
         }
-        granter = granting.Granter(
-            tables_by_group.get,
-            lambda: True,
-            lambda: None,
-            lambda: None,
-            lambda: None,
-            counters.Counters(),
-        )
-        granter._clients.update(servers)
+        granter = create_granter(tables_by_group, servers)
         started_s = clock.boot_s()
         granter.start_epoch(started_s + _EARLIER_KEEPER_ACTS_S)
         granter.apply_table(table_with_move)
@@ -118,15 +130,7 @@
             2,
         )
         servers = {s: FakeServer(range(0)) for s in (source, target)}
-        granter = granting.Granter(
-            {"g": table}.get,
-            lambda: True,
-            lambda: None,
-            lambda: None,
-            lambda: None,
-            counters.Counters(),
-        )
-        granter._clients.update(servers)
+        granter = create_granter({"g": table}, servers)
         started_s = clock.boot_s()
         granter.start_epoch(started_s + _EARLIER_KEEPER_ACTS_S)
         if confirmed:
@@ -182,15 +186,7 @@
         source, target, _ = _INSTANCES
         slow, fast = SlowServer(), FakeServer(range(0))
         tables_by_group = {"g": tables.create("g", [source], 1)}
-        granter = granting.Granter(
-            tables_by_group.get,
-            lambda: True,
-            lambda: None,
-            lambda: None,
-            lambda: None,
-            counters.Counters(),
-        )
-        granter._clients.update({source: slow, target: fast})
+        granter = create_granter(tables_by_group, {source: slow, target: fast})
         granter.start_epoch(clock.boot_s())
         granter.apply_table(tables_by_group["g"])
         async with asyncio.timeout(10.0):
@@ -235,16 +231,9 @@
         """Sends a first grant to a server that rejects it."""
         server = RecordingServer()
         table = tables.create("g", [_INSTANCES[0]], 1)
-        granter = granting.Granter(
-            {"g": table}.get,
-            lambda: True,
-            lambda: None,
-            lambda: None,
-            lambda: None,
-            counters.Counters(),
-            **options,
+        granter = create_granter(
+            {"g": table}, {_INSTANCES[0]: server}, **options
         )
-        granter._clients[_INSTANCES[0]] = server
         granter.start_epoch(clock.boot_s())
         granter.apply_table(table)
         async with asyncio.timeout(10.0):
--- a/tests/gateway/permits/test_decisions.py
+++ b/tests/gateway/permits/test_decisions.py
@@ -6,12 +6,7 @@
 from berylweir.gateway import messages
 from berylweir.gateway import models
 from berylweir.gateway.permits import decisions
-
-# The platform's rule: requests in any window, as a multiple of what the limit
-# allows, and in addition to that.
-_WINDOW_S = 4.0
-_LIMIT_FACTOR = 1.5
-_LIMIT_SLACK = 5.0
+from tests.gateway import limit_rule
 
 
 def make_vms(count: int) -> dict[str, models.Vm]:
@@ -22,17 +17,6 @@
     }
 
 
-def most_in_window(starts_s: list[float]) -> int:
-    """Returns the largest number of requests in any window of the rule."""
-    return max(
-        (
-            sum(1 for s in starts_s if first <= s <= first + _WINDOW_S)
-            for first in starts_s
-        ),
-        default=0,
-    )
-
-
 class TestPermitSchedule:
     """Start times of the requests to one server."""
 
@@ -59,8 +43,9 @@
                     starts_s.append(permit.start_s)
                 else:
                     assert permit.available_s > now_s + max_wait_s
-        allowed = _LIMIT_FACTOR * _WINDOW_S * limit + _LIMIT_SLACK
-        assert most_in_window(starts_s) <= allowed
+        assert limit_rule.most_in_window(
+            starts_s
+        ) <= limit_rule.allowed_in_window(limit)
 
     def test_denied_request_uses_no_permit(self):
         """Guards against requests that push others back and aren't sent."""
--- a/tests/gateway/test_server_limits.py
+++ b/tests/gateway/test_server_limits.py
@@ -2,22 +2,9 @@
 
 import asyncio
 
+from tests.gateway import limit_rule
 from tests.gateway import rig as rigs
 
-# The platform's rule: requests in any window, as a multiple of what the limit
-# allows, and in addition to that.
-_WINDOW_S = 4.0
-_LIMIT_FACTOR = 1.5
-_LIMIT_SLACK = 5.0
-
-
-def most_in_window(starts_s: list[float]) -> int:
-    """Returns the largest number of requests in any window of the rule."""
-    return max(
-        sum(1 for s in starts_s if first <= s <= first + _WINDOW_S)
-        for first in starts_s
-    )
-
 
 class TestServerLimit:
     """Requests of several gateways to servers with a limit."""
@@ -43,9 +30,9 @@
                     group.create_task(call(number))
                     await asyncio.sleep(0.02)
             starts_s = [e.started_s for e in server.executions[told:]]
-            assert most_in_window(starts_s) <= (
-                _LIMIT_FACTOR * _WINDOW_S * server.limit_per_s + _LIMIT_SLACK
-            )
+            assert limit_rule.most_in_window(
+                starts_s
+            ) <= limit_rule.allowed_in_window(server.limit_per_s)
             # 250 requests in 5 s or more; the limit allows 30 of them.
             assert len(starts_s) >= 20
             refused = [r for r in replies if r.status != 200]
