Drop held-up data of a reset connection in the soak's proxy

On the platform, bytes that a partition holds up are lost if their sender resets the connection, and the keeper relies on that.

Change: the proxy drops data that it holds back if the sender has reset the connection meanwhile.

Measured: test_held_up_data_of_a_reset_connection_is_lost fails before and passes after (5 passed).

--- a/berylweir/soak/proxy.py
+++ b/berylweir/soak/proxy.py
@@ -94,12 +94,16 @@
     ) -> None:
         """Forwards one direction of a connection until its end.
 
+        Data that is held back is lost if its sender resets the connection.
+
         Raises:
             ConnectionResetError: At the end, so that the task group cancels
                 the other direction and both sockets are closed.
         """
         while data := await reader.read(_READ_BYTES):
             await self._apply_faults(is_response=is_response)
+            if reader.exception() is not None:
+                break  # Its sender has reset the connection meanwhile.
             writer.write(data)
             await writer.drain()
         raise ConnectionResetError
--- a/tests/soak/test_proxy.py
+++ b/tests/soak/test_proxy.py
@@ -2,6 +2,8 @@
 
 import asyncio
 import contextlib
+import socket
+import struct
 
 import pytest
 
@@ -47,3 +49,35 @@
                 assert asyncio.get_running_loop().time() - sent_s > 0.2
             await injection
             assert await send_request() == b"whole"
+
+    async def test_held_up_data_of_a_reset_connection_is_lost(self):
+        """Guards against requests that the platform's network doesn't deliver.
+
+        Bytes that a partition holds up are lost if their sender resets the
+        connection, and a keeper relies on that for its grants.
+        """
+        arrived: list[http.Request] = []
+        async with contextlib.AsyncExitStack() as stack:
+
+            async def handle(request: http.Request) -> http.Response:
+                arrived.append(request)
+                return http.Response(200)
+
+            fault_proxy = proxy.FaultProxy(await http.listen(stack, handle))
+            port = await fault_proxy.listen(stack)
+            injection = asyncio.create_task(
+                fault_proxy.inject(models.LinkFault.SILENT, 0.3)
+            )
+            await asyncio.sleep(0.01)
+            _, writer = await asyncio.open_connection("127.0.0.1", port)
+            writer.write(b"GET / HTTP/1.1\r\n\r\n")
+            await writer.drain()
+            await asyncio.sleep(0.05)
+            sock = writer.get_extra_info("socket")
+            sock.setsockopt(
+                socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0)
+            )
+            writer.transport.abort()
+            await injection
+            await asyncio.sleep(0.1)
+            assert arrived == []
