Release the keys of a server that has started again under its id

A key could have two owners for up to 2.6 s: the new life of a server, and the server to which the keys of its previous instance were moved.

Cause: a server that starts again under its id accepts the renewals that a keeper sends before it knows of the new start; it has forgotten all tokens. When the keeper learned of it, it took the previous instance for ended and granted its keys to others at once. A held-back store makes that time longer.

Change: the new life is asked to release the keys; if it doesn't respond, its last grant expires first. Only a server whose address another one has taken over counts as ended at once: that one rejects commands for the earlier server.

--- a/berylweir/gateway/ownership/granting.py
+++ b/berylweir/gateway/ownership/granting.py
@@ -463,13 +463,16 @@
             The hand-over state with which the new owner starts warm; None if
             the previous owner sent none.
         """
-        if self._was_replaced(source):
+        if source in self._replaced_instances:
             return None
         async with self._lock(source):
             # While the lock is held no renewal is in flight, and none that
             # includes this range will follow.
             last_expires_s = self._expiries.for_server(source).expires_s
-            is_fenced = self._expiries.for_server(source).is_fenced
+            # A server that has started again has forgotten the tokens.
+            is_fenced = self._expiries.for_server(
+                source
+            ).is_fenced and not self._was_replaced(source)
         may_be_granted_by_predecessor = any(
             first <= key_range.last and last >= key_range.first
             for first, last in self._unfenced_ranges.get(source, ())
@@ -487,8 +490,11 @@
                 else self._expiries.expires_s(source)
             )
 
-        while clock.boot_s() < expires_s() and not self._was_replaced(source):
-            client = self._clients.get(source)
+        while (
+            clock.boot_s() < expires_s()
+            and source not in self._replaced_instances
+        ):
+            client = self._newest_client(source)
             if client is not None:
                 outcome = await client.send(
                     grants.Release(
@@ -511,6 +517,17 @@
             )
         return None
 
+    def _newest_client(
+        self, instance: models.ServerInstance
+    ) -> grant_client.GrantClient | None:
+        """Returns the client of the newest instance with an instance's id.
+
+        A server that has started again under its id may have accepted grants
+        that were meant for its previous instance.
+        """
+        current = self._servers.get(instance.server)
+        return self._clients.get(current.instance if current else instance)
+
     def _was_replaced(self, instance: models.ServerInstance) -> bool:
         """Returns whether another instance has its name or its address."""
         current = self._servers.get(instance.server)
--- a/tests/gateway/ownership/test_granting.py
+++ b/tests/gateway/ownership/test_granting.py
@@ -160,6 +160,79 @@
         assert waited_s < _EARLIER_KEEPER_ACTS_S + grant_expiry.GRANT_DURATION_S
 
 
+class RestartedServer(FakeServer):
+    """A server that has started again under its id.
+
+    Attributes:
+        released_s: When it accepted a release, on the boot clock.
+    """
+
+    def __init__(self, responds: bool) -> None:
+        super().__init__(range(0))
+        self.released_s = float("inf")
+        self._responds = responds
+
+    async def send(self, command: grants.Command) -> grant_client.SendOutcome:
+        """Accepts a release, unless it doesn't respond."""
+        if not self._responds:
+            return grant_client.NoResponse()
+        if isinstance(command, grants.Release):
+            self.released_s = clock.boot_s()
+        return await super().send(command)
+
+
+class TestRestartedOwner:
+    """Moves from an owner that has started again under its id."""
+
+    async def move(self, restarted: RestartedServer) -> float:
+        """Returns when the keys are granted to the target of the move.
+
+        The owner gets a grant before the keeper knows of its new start.
+
+        Returns:
+            The time on the boot clock, in seconds.
+        """
+        source, target, _ = _INSTANCES
+        fast = FakeServer(range(0))
+        tables_by_group = {"g": tables.create("g", [source], 1)}
+        granter = create_granter(
+            tables_by_group, {source: FakeServer(range(0)), target: fast}
+        )
+        granter.start_epoch(clock.boot_s())
+        granter.confirm_predecessors_stopped()
+        granter.apply_table(tables_by_group["g"])
+        await asyncio.sleep(0.05)
+        entry = models.BackendServer(
+            source.server, 2, "g", "127.0.0.1", 1, "a", 3, False, 0.0, 1
+        )
+        granter._servers = {source.server: entry}
+        del granter._clients[source]
+        granter._clients[entry.instance] = restarted
+        table = tables.start_moves(
+            tables_by_group["g"],
+            [ownership.Move(0, models.KEY_COUNT - 1, target)],
+        )
+        tables_by_group["g"] = dataclasses.replace(table, revision=2)
+        granter.apply_table(tables_by_group["g"])
+        async with asyncio.timeout(30.0):
+            while 0 not in fast.granted_s:
+                await asyncio.sleep(0.01)
+        granter.close()
+        return fast.granted_s[0]
+
+    async def test_restarted_owner_releases_what_it_was_granted(self):
+        """Guards against a new life that holds keys granted to the old one."""
+        restarted = RestartedServer(responds=True)
+        granted_s = await self.move(restarted)
+        assert granted_s >= restarted.released_s
+
+    async def test_keys_of_a_silent_restarted_owner_wait_for_its_grants(self):
+        """Guards against a second owner while the new life can't be asked."""
+        started_s = clock.boot_s()
+        granted_s = await self.move(RestartedServer(responds=False))
+        assert granted_s - started_s >= grant_expiry.GRANT_DURATION_S
+
+
 class SlowServer(FakeServer):
     """A server that applies grants without responding to them."""
 
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -18,6 +18,7 @@
 # The same for soaks of `_STATEMENT_SECONDS`.
 _STATEMENT_REGRESSIONS = (
     46,  # A source of an inherited move took a grant of the earlier keeper.
+    114,  # A restarted server took a grant for its previous instance.
     56,  # The proxy delivered a grant whose sender had reset the connection.
 )
 
