--- a/berylweir/gateway/permits/decisions.py
+++ b/berylweir/gateway/permits/decisions.py
@@ -17,8 +17,9 @@
 # Lowest rate, in requests per second. Only a response can lift a limit of 0, so
 # a server with that limit still gets a request now and then.
 _MIN_RATE = 0.1
-# Requests that may follow each other at once after a pause: a number, and those
-# of a time in seconds. Requests don't arrive evenly spaced.
+# Requests that may follow each other at once after a pause: a fixed number, and
+# those that the limit allows in a time, in seconds. Requests don't arrive at
+# even intervals.
 _MIN_BURST = 3.0
 _BURST_S = 0.25
 # Fraction of the limit that a VM grants in place of the counter. The counter
@@ -30,7 +31,7 @@
 # with each further failure up to the maximum.
 _SILENCE_BASE_S = 2.0
 _SILENCE_MAX_S = 16.0
-# Time after which a VM that never responded in it counts as gone, in seconds.
+# Time without any response after which a VM counts as gone, in seconds.
 _GONE_S = 10.0
 
 
@@ -55,7 +56,7 @@
     def reserve(
         self, now_s: float, rate: float, max_wait_s: float
     ) -> messages.Permit:
-        """Returns when a request may start, or that this is too late for it.
+        """Returns when a request may start, unless that is too late for it.
 
         Args:
             now_s: Current time.
