Recover the key tables until a holder of the generation has acted

Cause: table_recovery was skipped if the lease before the own one was of the same generation, as if its holder had already got the newest tables. That holder may have ended before it acted. The next one then moved keys by the tables of the restored copy, while the holder from before the restoration went on renewing grants by its own.

Evidence: in the new test, the store is restored to a copy with an older table and a lease of the new generation whose holder never acted.

Change: recovery is due in a generation after the first while a known key table is of an earlier generation, or a configured keyed group has none, or neither tables nor groups are known. A holder writes every table when it starts to act, so the tables tell whether one has, also if it ended after writing some of them. A missing lease no longer counts as the first one then: earlier holders may still be granting.

--- a/berylweir/gateway/ownership/lease.py
+++ b/berylweir/gateway/ownership/lease.py
@@ -71,6 +71,7 @@
         collect_report: CollectReport,
         on_acquired: Callable[[models.Lease, float], None],
         on_predecessors_stopped: Callable[[], None],
+        is_recovery_due: Callable[[int], bool],
         on_newer_tables: Callable[[models.Vm], Awaitable[None]],
         on_lost: Callable[[], None],
         on_holder_status: Callable[[peers.GatewayStatus], None],
@@ -89,9 +90,10 @@
                 holder may still grant keys.
             on_predecessors_stopped: Called when all earlier holders have
                 certainly stopped granting keys.
-            on_newer_tables: Called with a gateway that has newer key tables
-                than this one, before this one starts to act in a new generation
-                of the store.
+            is_recovery_due: Returns whether the newest key tables must be got
+                from the other gateways before this one acts in an epoch.
+            on_newer_tables: Called then with a gateway that has newer key
+                tables than this one.
             on_lost: Called when this gateway no longer holds the lease.
             on_holder_status: Called with the status in each response of the
                 holder.
@@ -106,6 +108,7 @@
         self._collect_report = collect_report
         self._on_acquired = on_acquired
         self._on_predecessors_stopped = on_predecessors_stopped
+        self._is_recovery_due = is_recovery_due
         self._on_newer_tables = on_newer_tables
         self._on_lost = on_lost
         self._lease: models.Lease | None = None
@@ -475,7 +478,8 @@
         own_lease, previous = self._lease, self._previous_lease
         if own_lease is None:
             return
-        if previous is not None:
+        is_recovery_due = self._is_recovery_due(own_lease.epoch)
+        if is_recovery_due:
             await table_recovery.recover(
                 self._local_vm,
                 own_lease,
@@ -486,13 +490,14 @@
             if self._lease is not own_lease:
                 return
         self._acting_epoch = own_lease.epoch
+        # A restored store may have lost all leases.
+        is_first = previous is None and not is_recovery_due
         predecessors_stop_s = clock.boot_s()
-        if previous is not None:
+        if not is_first:
             predecessors_stop_s += grant_expiry.AUTHORITY_S
         self._on_acquired(own_lease, predecessors_stop_s)
-        have_resigned = (
-            previous is None
-            or await self._holder_check.ask_all_to_resign(own_lease)
+        have_resigned = is_first or await self._holder_check.ask_all_to_resign(
+            own_lease
         )
         if have_resigned and self._lease is own_lease:
             self._on_predecessors_stopped()
--- a/berylweir/gateway/ownership/task.py
+++ b/berylweir/gateway/ownership/task.py
@@ -27,6 +27,7 @@
 from berylweir.gateway.ownership import lease as leases
 from berylweir.gateway.ownership import models as ownership
 from berylweir.gateway.ownership import table_publisher
+from berylweir.gateway.ownership import table_recovery
 from berylweir.gateway.ownership import tables
 from berylweir.gateway.peers import messages as peers
 from berylweir.gateway.peers import task as peer_task
@@ -129,6 +130,7 @@
             collect_report=self._collect_report,
             on_acquired=self._on_lease_acquired,
             on_predecessors_stopped=self._on_predecessors_stopped,
+            is_recovery_due=self._is_recovery_due,
             on_newer_tables=self._fetch_tables,
             on_lost=self._on_lease_lost,
             on_holder_status=self._refresh_stale_tables,
@@ -294,6 +296,9 @@
         self._granter.start_epoch(predecessors_stop_s)
         self._state_changed.set()
 
+    def _is_recovery_due(self, epoch: int) -> bool:
+        return table_recovery.is_due(epoch, self._tables, self._groups.values())
+
     async def _fetch_tables(self, vm: models.Vm) -> None:
         """Reads the key tables of another gateway."""
         match await self._peer_client.ask(
--- a/tests/gateway/ownership/test_lease.py
+++ b/tests/gateway/ownership/test_lease.py
@@ -84,6 +84,7 @@
                 collect_report=build_report,
                 on_acquired=lambda lease, predecessors_stop_s: None,
                 on_predecessors_stopped=lambda: None,
+                is_recovery_due=lambda epoch: False,
                 on_newer_tables=ignore_tables,
                 on_lost=lambda: None,
                 on_holder_status=lambda status: None,
--- a/tests/gateway/test_restored_store.py
+++ b/tests/gateway/test_restored_store.py
@@ -3,6 +3,7 @@
 import asyncio
 import time
 
+from berylweir.gateway import revisions
 from berylweir.gateway.replication import upstreams
 from tests.gateway import rig as rigs
 
@@ -94,6 +95,63 @@
             assert server.holds(7)
 
 
+class TestHolderAfterRestoration:
+    """A gateway that takes the lease in the generation of a restored store."""
+
+    _KEYS = (0, 9000, 30_000, 65_535)
+
+    def owners(self, rig: rigs.Rig, key: int) -> list[str]:
+        """Returns the names of the servers that hold a key."""
+        return [n for n, s in rig.servers.items() if s.holds(key)]
+
+    def are_all_owned_by(self, rig: rigs.Rig, server: str) -> bool:
+        """Returns whether one server alone holds all keys of a sample."""
+        return all(self.owners(rig, key) == [server] for key in self._KEYS)
+
+    async def test_newest_tables_are_used_if_no_holder_has_acted_yet(self):
+        """Guards against old tables if a holder of the generation has ended.
+
+        It took the lease but hadn't acted, and the next holder moved keys by
+        the restored table (soak seed 56).
+        """
+        async with rigs.Rig() as rig:
+            await rig.configure({"slots": True}, [rigs.route("k", "slots")], 1)
+            await rig.add_server("s1", "slots", is_keyed=True)
+            await rig.add_gateway("vm-1")
+            await rigs.until(lambda: self.are_all_owned_by(rig, "s1"))
+            copy = rig.store.copy()
+            await rig.add_server("s2", "slots", is_keyed=True)
+            ready = rig.store.get("servers", "s1")["spec"]
+            leaving = ready | {
+                "status": ready["status"] | {"state": "draining"}
+            }
+            await rig.store.put("servers", "s1", leaving)
+            await rigs.until(lambda: self.are_all_owned_by(rig, "s2"))
+            added = rig.store.get("servers", "s2")["spec"]
+            rig.cut_off.add("vm-1")
+            await rig.store.restore(copy)
+            await rig.store.put("servers", "s2", added)
+            ended = {
+                "holder": "",
+                "incarnation": "",
+                "epoch": revisions.next_epoch(0, rig.store.generation),
+            }
+            await rig.store.put("berylweir", "lease", ended)
+            await rig.add_gateway("vm-2")
+
+            def is_acting() -> bool:
+                for key in self._KEYS:
+                    assert len(self.owners(rig, key)) <= 1
+                table = rig.store.get("berylweir-keys", "slots")["spec"]
+                epoch: int = table["epoch"]
+                return epoch > ended["epoch"]
+
+            await rigs.until(is_acting)
+            for _ in range(100):
+                assert is_acting()
+                await asyncio.sleep(0.01)
+
+
 class TestRegistration:
     """The objects of the gateways after a restoration."""
 
