Wait for the holder that nobody who responds knows after a restoration

Cause: the recovery looked for the holder in the restored copy, which may lack the last lease, and waited 2.65 s if that one didn't respond. A later holder that didn't respond went on renewing grants by moves that the copy lacks.

Evidence: in the new test, the store is restored to a copy from before a move, its holder can't be reached by the gateway that takes the lease, and that one has only started.

Change: - Statuses name the leases that a gateway knew of the earlier generation, with holder, incarnation and epoch, and whether the newest was certainly the last. A lease read from a restored store doesn't count. Announcements of a new lease name its holder, so that one is known before it is read. - recovery_wait decides for whom to wait: for the holders from the epoch of the known tables on, if a gateway that responds knows all of them, else also for every gateway that doesn't respond. One that responds late is asked for its tables; the grants of a run that has ended expire, counted from the response of the next one. - The wait ends AUTHORITY_S and the longest grant after the restoration became known to any gateway that responds, since no earlier holder has confirmed its lease after that.

Why it works: keys that no known table describes can only be granted by a holder that hasn't responded, and it may do so until its authority ends. With all gateways responding there is no wait of that length, and one that knows the last lease suffices if others are down.

Not covered: a holder that is neither registered in the copy nor known to any gateway that responds.

--- a/berylweir/gateway/ownership/holder_check.py
+++ b/berylweir/gateway/ownership/holder_check.py
@@ -1,6 +1,7 @@
 """Asks the other gateways about the lease holder and its predecessors."""
 
 import asyncio
+from collections.abc import Collection
 from collections.abc import Mapping
 import dataclasses
 import random
@@ -32,24 +33,19 @@
     replies: tuple[tuple[models.Vm, peers.GatewayStatus], ...]
     are_complete: bool
 
-    def includes(self, vm: str, incarnation: str) -> bool:
-        """Returns whether a run of a gateway responded, or has ended.
+    def vms_with_newer_tables(
+        self, known: Mapping[str, int]
+    ) -> list[models.Vm]:
+        """Returns the gateways with the newest revision of any key table.
 
         Args:
-            vm: Name of the VM.
-            incarnation: Id of the run; another one on the VM has replaced it.
+            known: Revision of each table that is already known, by name.
         """
-        return any(
-            responded.name == vm and status.incarnation == incarnation
-            for responded, status in self.replies
-        )
-
-    def vms_by_table_revision(self) -> list[models.Vm]:
-        """Returns the gateways with the newest revision of any key table."""
         newest: dict[str, tuple[int, models.Vm]] = {}
         for vm, status in self.replies:
             for name, revision in status.tables.items():
-                if name not in newest or revision > newest[name][0]:
+                highest = newest[name][0] if name in newest else known.get(name)
+                if highest is None or revision > highest:
                     newest[name] = revision, vm
         return list(dict.fromkeys(vm for _, vm in newest.values()))
 
@@ -71,6 +67,11 @@
         self._vms: Mapping[str, models.Vm] = {}
         self._no_replies_since_s = float("inf")
 
+    @property
+    def registered(self) -> Collection[str]:
+        """Names of the VMs of all registered gateways."""
+        return self._vms.keys()
+
     def update_vms(self, vms: Mapping[str, models.Vm]) -> None:
         """Replaces the registered gateways.
 
@@ -97,21 +98,25 @@
         )
 
     async def collect_statuses(
-        self, own_lease: models.Lease
-    ) -> "GatewayStatuses":
-        """Asks all other gateways to resign and returns their status.
+        self, own_lease: models.Lease, names: Collection[str] | None = None
+    ) -> GatewayStatuses:
+        """Asks other gateways to resign and returns their status.
 
         Args:
             own_lease: The lease that this gateway took.
+            names: Names of the VMs to ask; None for all registered ones.
         """
         others = [
-            vm for vm in self._vms.values() if vm.name != self._local_vm.name
+            vm
+            for vm in self._vms.values()
+            if vm.name != self._local_vm.name
+            and (names is None or vm.name in names)
         ]
+        request = peers.ResignLease(
+            own_lease.epoch, own_lease.holder, own_lease.incarnation
+        )
         replies = await asyncio.gather(
-            *(
-                self._client.ask(vm, peers.ResignLease(own_lease.epoch))
-                for vm in others
-            )
+            *(self._client.ask(vm, request) for vm in others)
         )
         received = tuple(
             (vm, reply.ok_value)
--- a/berylweir/gateway/ownership/lease.py
+++ b/berylweir/gateway/ownership/lease.py
@@ -8,6 +8,7 @@
 from collections.abc import Awaitable
 from collections.abc import Callable
 from collections.abc import Mapping
+import contextlib
 import dataclasses
 import logging
 import random
@@ -20,12 +21,13 @@
 from berylweir.gateway.ownership import election
 from berylweir.gateway.ownership import grant_expiry
 from berylweir.gateway.ownership import holder_check
+from berylweir.gateway.ownership import holder_monitor
+from berylweir.gateway.ownership import lease_history
+from berylweir.gateway.ownership import lease_store
 from berylweir.gateway.ownership import table_recovery
 from berylweir.gateway.peers import messages as peers
 from berylweir.gateway.peers import task as peer_task
 from berylweir.observability import counters
-from berylweir.platform import exceptions
-from berylweir.platform import objects
 from berylweir.platform import store
 
 _LOGGER = logging.getLogger(__name__)
@@ -36,13 +38,6 @@
 _CONFIRM_RETRY_S = 0.7
 # Delay after a failed attempt to acquire the lease, in seconds.
 _ACQUIRE_RETRY_S = 0.4
-# Age of the holder's last confirmation above which another gateway takes over
-# if the store is up, in seconds. It must exceed _CONFIRM_INTERVAL_S.
-_MAX_CONFIRMATION_AGE_S = 4.0
-# Time after a change of the lease during which unanswered reports don't count
-# as failed, in seconds. The new holder is busy then: it sends requests to all
-# other gateways and grants all keys, which can keep a slow VM busy this long.
-_NEW_HOLDER_GRACE_S = 2.0
 # Additional delay before the first lease is created, in seconds, so that the
 # other gateways don't get the object with its holder's address after the lease.
 _FIRST_LEASE_DELAY_S = 0.15
@@ -72,6 +67,8 @@
         on_acquired: Callable[[models.Lease, float], None],
         on_predecessors_stopped: Callable[[], None],
         is_recovery_due: Callable[[int], bool],
+        get_acted_epoch: Callable[[], int],
+        get_table_revisions: Callable[[], Mapping[str, int]],
         on_newer_tables: Callable[[models.Vm], Awaitable[None]],
         on_lost: Callable[[], None],
         on_holder_status: Callable[[peers.GatewayStatus], None],
@@ -92,6 +89,10 @@
                 certainly stopped granting keys.
             is_recovery_due: Returns whether the newest key tables must be got
                 from the other gateways before this one acts in an epoch.
+            get_acted_epoch: Returns the lowest epoch under which a known key
+                table was written; 0 if none is known.
+            get_table_revisions: Returns the revision of each known key table,
+                by name.
             on_newer_tables: Called then with a gateway that has newer key
                 tables than this one.
             on_lost: Called when this gateway no longer holds the lease.
@@ -101,15 +102,23 @@
                 that it follows.
         """
         self._local_vm = local_vm
-        self._client = client
+        self._store = lease_store.LeaseStore(client, metrics)
         self._peer_client = peer_client
         self._holder_check = holder_check.HolderCheck(local_vm, peer_client)
+        self._history = lease_history.LeaseHistory()
+        self._table_recovery = table_recovery.TableRecovery(
+            local_vm,
+            self._holder_check,
+            self._history,
+            is_due=is_recovery_due,
+            get_acted_epoch=get_acted_epoch,
+            get_table_revisions=get_table_revisions,
+            on_newer_tables=on_newer_tables,
+        )
         self._metrics = metrics
         self._collect_report = collect_report
         self._on_acquired = on_acquired
         self._on_predecessors_stopped = on_predecessors_stopped
-        self._is_recovery_due = is_recovery_due
-        self._on_newer_tables = on_newer_tables
         self._on_lost = on_lost
         self._lease: models.Lease | None = None
         self._has_read_lease = False
@@ -117,23 +126,18 @@
         # When this gateway last read or wrote itself as the holder. This and
         # the other times are on the boot clock, in seconds.
         self._confirmed_s = float("-inf")
-        self._failed_reports = 0
+        self._holder = holder_monitor.HolderMonitor()
         self._state_changed = asyncio.Event()
         self._report_requested = asyncio.Event()
         self._is_resigning = False
-        self._is_replacing_holder = False
         self._is_store_up = is_store_up
         self._previous_lease: models.Lease | None = None
-        self._holder_responded_s = float("-inf")
         self._on_holder_status = on_holder_status
         # Epoch of its own for which this gateway has started to act.
         self._acting_epoch = 0
-        # Whether the store was restored from a copy without the lease.
-        self._is_lease_missing = False
-        self._lease_changed_s = float("-inf")
         # Last epoch to whose holder this gateway has started to report.
         self._reported_epoch = 0
-        client.subscribe(self._state_changed.set)
+        client.subscribe(self._on_store_restored)
 
     @property
     def epoch(self) -> int:
@@ -164,15 +168,20 @@
         Args:
             tables: Revision of each known key table, by name.
         """
-        heard_age_s = clock.boot_s() - self._holder_responded_s
+        now_s = clock.boot_s()
+        heard_age_s = now_s - self._holder.responded_s
+        generation_age_s = now_s - self._history.generation_known_s
         return peers.GatewayStatus(
             self._local_vm.incarnation,
             self.epoch,
             self.is_holder
-            and clock.boot_s() - self._confirmed_s < grant_expiry.AUTHORITY_S,
-            heard_age_s if self._holder_responded_s > float("-inf") else None,
-            clock.boot_s() - self._confirmed_s if self.is_holder else None,
+            and now_s - self._confirmed_s < grant_expiry.AUTHORITY_S,
+            heard_age_s if heard_age_s < float("inf") else None,
+            now_s - self._confirmed_s if self.is_holder else None,
             tables,
+            peers.encode_former_leases(self._history.former),
+            self._history.generation,
+            generation_age_s if self._history.generation else None,
         )
 
     def report_soon(self) -> None:
@@ -196,15 +205,15 @@
             lease: The lease; None if none was ever written.
         """
         self._has_read_lease = True
+        if lease is not None:
+            self._history.record_lease(lease, clock.boot_s())
         current = self._lease
         if lease is not None and (
             current is None or lease.order > current.order
         ):
             was_holder = self.is_holder
             self._lease = lease
-            self._lease_changed_s = clock.boot_s()
-            self._failed_reports = 0
-            self._is_replacing_holder = False
+            self._holder.record_lease_change(clock.boot_s())
             _LOGGER.info(
                 "lease changed",
                 extra={
@@ -224,13 +233,20 @@
             self._lease = dataclasses.replace(current, revision=lease.revision)
         self._state_changed.set()
 
-    def handle_newer_epoch(self, epoch: int) -> None:
+    def handle_newer_epoch(
+        self, epoch: int, holder: str = "", incarnation: str = ""
+    ) -> None:
         """Gives up a lease that another gateway has superseded.
 
         Args:
             epoch: Epoch that the other gateway announced. One that isn't
                 higher than the known epoch is ignored.
+            holder: Name of the VM of the new holder, if it is known.
+            incarnation: Id of the run of its gateway.
         """
+        self._history.record_announcement(
+            holder, incarnation, epoch, clock.boot_s()
+        )
         if self._lease is not None and epoch > self._lease.epoch:
             was_holder = self.is_holder
             self._lease = models.Lease("", "", epoch, self._lease.revision)
@@ -260,13 +276,7 @@
         if lease is None or not self.is_holder:
             return
         self._on_lost()
-        released = models.Lease("", "", lease.epoch, lease.revision)
-        outcome = await self._client.replace(
-            objects.GATEWAY_KIND,
-            objects.LEASE_NAME,
-            objects.encode_lease(released),
-            lease.revision,
-        )
+        outcome = await self._store.release(lease)
         _LOGGER.info(
             "lease resigned", extra={"outcome": type(outcome).__name__}
         )
@@ -284,7 +294,11 @@
         The store may have lost a later lease then, so that the lease must be
         taken again.
         """
-        return revisions.epoch_generation(self.epoch) < self._client.generation
+        return revisions.epoch_generation(self.epoch) < self._store.generation
+
+    def _on_store_restored(self) -> None:
+        self._history.record_generation(self._store.generation, clock.boot_s())
+        self._state_changed.set()
 
     def _is_holder_lost(self) -> bool:
         """Returns whether the lease is free or its holder considered lost."""
@@ -295,34 +309,38 @@
         is_other_run = (
             holder is not None and holder.incarnation != lease.incarnation
         )
-        return (
-            is_other_run
-            or self._failed_reports >= election.LOST_AFTER_FAILED_REPORTS
-        )
+        return is_other_run or self._holder.is_lost
 
     async def _confirm_lease(self) -> None:
-        """Reads the lease to confirm that this gateway still holds it.
+        """Confirms that this gateway still holds the lease, then waits."""
+        if await self._read_own_lease():
+            await self._wait_for_change(_CONFIRM_INTERVAL_S)
+        else:
+            await asyncio.sleep(_CONFIRM_RETRY_S)
+
+    async def _read_own_lease(self) -> bool:
+        """Reads the lease, which confirms it if it is still this gateway's.
 
         The confirmation counts from before the read, as the lease may have
         changed since the store handled it.
+
+        Returns:
+            Whether the store answered.
         """
         read_started_s = clock.boot_s()
-        response = await self._client.get(
-            objects.GATEWAY_KIND, objects.LEASE_NAME
-        )
-        match response:
-            case result.Ok(stored):
-                match objects.decode_gateway_object(stored):
-                    case result.Ok(models.Lease() as lease):
-                        self.update_lease(lease)
-                        if (
-                            self._is_own(lease)
-                            and not self._is_of_earlier_generation()
-                        ):
-                            self._confirmed_s = read_started_s
-                    case _:
-                        self._metrics.count("lease.undecodable")
-                await self._wait_for_change(_CONFIRM_INTERVAL_S)
+        match await self._store.read():
+            case result.Ok(lease):
+                if lease is not None:
+                    self.update_lease(lease)
+                    if (
+                        self._is_own(lease)
+                        and not self._is_of_earlier_generation()
+                    ):
+                        self._confirmed_s = read_started_s
+                        self._history.record_evidence(
+                            lease.epoch, read_started_s
+                        )
+                return True
             case result.Err(failure):
                 self._metrics.count("lease.unconfirmed")
                 _LOGGER.warning(
@@ -332,7 +350,7 @@
                         "age_s": round(read_started_s - self._confirmed_s, 2),
                     },
                 )
-                await asyncio.sleep(_CONFIRM_RETRY_S)
+        return False
 
     async def _report_to_holder(self) -> None:
         """Sends the holder a report and checks that it responds as such."""
@@ -350,7 +368,7 @@
         holder = self._vms.get(lease.holder)
         if holder is None:
             # The object with the holder's address may be read after the lease.
-            self._failed_reports += 1
+            self._holder.record_no_address()
             await self._wait_for_change(interval_s)
             return
         report = await self._collect_report()
@@ -359,29 +377,28 @@
             return
         match reply:
             case result.Ok(peers.GatewayStatus() as status) if status.is_holder:
-                self._failed_reports = 0
-                self._holder_responded_s = clock.boot_s()
+                now_s = clock.boot_s()
+                self._holder.record_holder(
+                    status, now_s, is_store_up=self._is_store_up()
+                )
+                self._history.record_evidence(status.epoch, now_s)
                 self._on_holder_status(status)
-                if self._should_replace(status):
-                    self._is_replacing_holder = True
-                    self._failed_reports = election.LOST_AFTER_FAILED_REPORTS
             case result.Ok(_):
                 # The gateway was restarted, or it was the holder but hasn't
                 # confirmed the lease within `AUTHORITY_S`.
-                self._failed_reports = election.LOST_AFTER_FAILED_REPORTS
+                self._holder.record_other_gateway()
             case result.Err(failure):
-                if clock.boot_s() - self._lease_changed_s > _NEW_HOLDER_GRACE_S:
-                    self._failed_reports += 1
+                self._holder.record_no_response(clock.boot_s())
                 _LOGGER.warning(
                     "holder silent",
                     extra={
                         "holder": lease.holder,
                         "epoch": lease.epoch,
-                        "failures": self._failed_reports,
+                        "failures": self._holder.failed_reports,
                         "failure": failure,
                     },
                 )
-        if self._failed_reports == 0:
+        if self._holder.failed_reports == 0:
             await self._wait_for_next_report(interval_s)
 
     async def _wait_for_next_report(self, interval_s: float) -> None:
@@ -394,18 +411,6 @@
             pass  # The report is due.
         self._report_requested.clear()
 
-    def _should_replace(self, status: peers.GatewayStatus) -> bool:
-        """Returns whether to replace a holder that can't reach the store.
-
-        It still renews grants, but it can't write key tables, so it moves no
-        keys.
-        """
-        return (
-            status.confirmed_s is not None
-            and status.confirmed_s > _MAX_CONFIRMATION_AGE_S
-            and self._is_store_up()
-        )
-
     async def _acquire_lease(self) -> None:
         """Takes the lease, unless it changes first or its holder seems alive.
 
@@ -423,10 +428,10 @@
             return
         if (
             lease is not None
-            and not self._is_replacing_holder
+            and not self._holder.is_replacing
             and await self._holder_check.should_defer_takeover(lease)
         ):
-            self._failed_reports = 0
+            self._holder.record_deferral()
             await asyncio.sleep(election.DEPUTY_REPORT_INTERVAL_S)
             return
         await self._write_own_lease()
@@ -438,37 +443,22 @@
             self._local_vm.name,
             self._local_vm.incarnation,
             revisions.next_epoch(
-                lease.epoch if lease else 0, self._client.generation
+                lease.epoch if lease else 0, self._store.generation
             ),
             0,
         )
         self._previous_lease = lease
         write_started_s = clock.boot_s()
-        spec = objects.encode_lease(new_lease)
-        response = (
-            await self._client.create(
-                objects.GATEWAY_KIND, objects.LEASE_NAME, spec
-            )
-            if lease is None or self._is_lease_missing
-            else await self._client.replace(
-                objects.GATEWAY_KIND, objects.LEASE_NAME, spec, lease.revision
-            )
-        )
-        self._is_lease_missing = False
-        match response:
-            case result.Ok(stored):
+        match await self._store.write(new_lease, lease):
+            case lease_store.Written(written):
                 self._confirmed_s = write_started_s
-                self.update_lease(
-                    dataclasses.replace(new_lease, revision=stored.revision)
-                )
-            case result.Err(exceptions.Conflict() as conflict):
-                self._handle_conflict(conflict)
+                self.update_lease(written)
+            case lease_store.Superseded(stored):
+                if stored is not None:
+                    self.update_lease(stored)
                 await asyncio.sleep(_ACQUIRE_RETRY_S)
-            case result.Err(exceptions.Missing()):
-                self._is_lease_missing = True
-            case result.Err(failure):
-                self._failed_reports = 0
-                self._is_replacing_holder = False
+            case lease_store.NotWritten(failure):
+                self._holder.reset()
                 self._metrics.count("lease.not_taken")
                 _LOGGER.warning("lease not taken", extra={"failure": failure})
                 await asyncio.sleep(_ACQUIRE_RETRY_S)
@@ -478,17 +468,11 @@
         own_lease, previous = self._lease, self._previous_lease
         if own_lease is None:
             return
-        is_recovery_due = self._is_recovery_due(own_lease.epoch)
-        if is_recovery_due:
-            await table_recovery.recover(
-                self._local_vm,
-                own_lease,
-                previous,
-                self._holder_check,
-                self._on_newer_tables,
-            )
-            if self._lease is not own_lease:
-                return
+        is_recovery_due = self._table_recovery.is_due(own_lease.epoch)
+        if is_recovery_due and not await self._recover_tables(
+            own_lease, previous
+        ):
+            return
         self._acting_epoch = own_lease.epoch
         # A restored store may have lost all leases.
         is_first = previous is None and not is_recovery_due
@@ -510,15 +494,36 @@
             },
         )
 
-    def _handle_conflict(self, conflict: exceptions.Conflict) -> None:
-        stored = store.decode_conflict(conflict)
-        if stored is None:
-            return
-        match objects.decode_gateway_object(stored):
-            case result.Ok(models.Lease() as lease):
-                self.update_lease(lease)
-            case _:
-                self._metrics.count("lease.undecodable")
+    async def _recover_tables(
+        self, own_lease: models.Lease, previous: models.Lease | None
+    ) -> bool:
+        """Gets the newest key tables, and confirms the lease meanwhile.
+
+        Without confirmation another gateway would take the lease, and wait
+        again.
+
+        Returns:
+            Whether this gateway still holds the lease.
+        """
+        async with contextlib.AsyncExitStack() as stack:
+            recovery = asyncio.create_task(
+                self._table_recovery.run(own_lease, previous)
+            )
+            stack.callback(recovery.cancel)
+            recovery.add_done_callback(lambda _: self._state_changed.set())
+            while (
+                self._lease is own_lease
+                and not self._is_of_earlier_generation()
+            ):
+                if recovery.done():
+                    recovery.result()
+                    return True
+                due_s = self._confirmed_s + _CONFIRM_INTERVAL_S
+                if clock.boot_s() < due_s:
+                    await self._wait_for_change(due_s - clock.boot_s())
+                elif not await self._read_own_lease():
+                    await self._wait_for_change(_CONFIRM_RETRY_S)
+        return False
 
     def _succession_rank(self, lease: models.Lease | None) -> int:
         holder = lease.holder if lease else ""
--- a/berylweir/gateway/ownership/task.py
+++ b/berylweir/gateway/ownership/task.py
@@ -131,6 +131,10 @@
             on_acquired=self._on_lease_acquired,
             on_predecessors_stopped=self._on_predecessors_stopped,
             is_recovery_due=self._is_recovery_due,
+            get_acted_epoch=lambda: table_recovery.acted_epoch(
+                self._tables, self._groups
+            ),
+            get_table_revisions=get_table_revisions,
             on_newer_tables=self._fetch_tables,
             on_lost=self._on_lease_lost,
             on_holder_status=self._refresh_stale_tables,
@@ -188,8 +192,8 @@
         match request:
             case peers.ReportUsage():
                 self._record_usage(peers.decode_usage(request))
-            case peers.ResignLease(epoch):
-                self._lease.handle_newer_epoch(epoch)
+            case peers.ResignLease(epoch, holder, incarnation):
+                self._lease.handle_newer_epoch(epoch, holder, incarnation)
             case (
                 peers.GetObjects()
                 | peers.GetChanges()
--- a/berylweir/gateway/peers/messages.py
+++ b/berylweir/gateway/peers/messages.py
@@ -7,6 +7,7 @@
 import result
 
 from berylweir.gateway import messages as gateway
+from berylweir.gateway.ownership import lease_history
 from berylweir.gateway.peers import exceptions
 
 # Objects of the store or their changes, as encoded by `replication.codec`.
@@ -42,9 +43,13 @@
 
     Attributes:
         epoch: Epoch of the new holder's lease.
+        holder: Name of its VM; empty if the gateway doesn't state it.
+        incarnation: Id of the run of its gateway.
     """
 
     epoch: int
+    holder: str = ""
+    incarnation: str = ""
 
 
 class GetObjects(msgspec.Struct, frozen=True, tag="view"):
@@ -191,6 +196,33 @@
     wait_s: float
 
 
+class FormerLease(msgspec.Struct, frozen=True, array_like=True):
+    """Lease of an earlier generation of the store.
+
+    Attributes:
+        holder: Name of the holder's VM; empty if the holder resigned.
+        incarnation: Id of the run of the holder's gateway.
+        epoch: Epoch of the lease.
+    """
+
+    holder: str
+    incarnation: str
+    epoch: int
+
+
+class FormerLeases(msgspec.Struct, frozen=True):
+    """Newest leases that a gateway knows of earlier generations of the store.
+
+    Attributes:
+        leases: Consecutive leases, the newest last.
+        is_last: Whether the newest was certainly in force shortly before the
+            restoration of the store.
+    """
+
+    leases: list[FormerLease]
+    is_last: bool
+
+
 class GatewayStatus(msgspec.Struct, frozen=True, tag="standing"):
     """Status of a gateway; answers all requests that have no other reply.
 
@@ -203,6 +235,11 @@
         confirmed_s: Time since the store last confirmed that it holds the
             lease, in seconds; None if it doesn't hold the lease.
         tables: Revision of each key table that it knows, by object name.
+        former: Newest leases that it knows of earlier generations of the
+            store; None if it has only started in the present one.
+        generation: Highest generation of the store that it knows.
+        generation_age_s: Time for which it has known that generation, in
+            seconds; None if the store was never restored.
     """
 
     incarnation: str
@@ -211,6 +248,9 @@
     heard_s: float | None = None
     confirmed_s: float | None = None
     tables: dict[str, int] = {}
+    former: FormerLeases | None = None
+    generation: int = 0
+    generation_age_s: float | None = None
 
 
 class ObjectsSnapshot(msgspec.Struct, frozen=True, tag="known"):
@@ -277,6 +317,33 @@
         return result.Err(exceptions.UndecodableMessage(str(error)))
 
 
+def encode_former_leases(
+    former: lease_history.FormerLeases | None,
+) -> FormerLeases | None:
+    """Returns the part of a status that names former leases."""
+    if former is None:
+        return None
+    return FormerLeases(
+        [FormerLease(x.holder, x.incarnation, x.epoch) for x in former.leases],
+        former.is_last,
+    )
+
+
+def decode_former_leases(
+    message: FormerLeases | None,
+) -> lease_history.FormerLeases | None:
+    """Returns the former leases that a status names; None if none."""
+    if message is None or not message.leases:
+        return None
+    return lease_history.FormerLeases(
+        tuple(
+            lease_history.FormerLease(x.holder, x.incarnation, x.epoch)
+            for x in message.leases
+        ),
+        message.is_last,
+    )
+
+
 def encode_usage(usage: gateway.KeyUsage) -> ReportUsage:
     """Returns the message that reports a VM's key usage."""
     return ReportUsage(
--- a/tests/gateway/ownership/test_holder_check.py
+++ b/tests/gateway/ownership/test_holder_check.py
@@ -53,3 +53,25 @@
         """Guards against keys that can't move because the holder has ended."""
         interval_s = election.report_interval_s(election.DEPUTY_COUNT, vms)
         assert not await self.should_defer(vms, 2.0 * interval_s + 1.0)
+
+
+class TestGatewayStatuses:
+    """The gateways that are asked for their key tables."""
+
+    def test_only_newer_tables_are_read(self):
+        """Guards against reading known tables from all gateways."""
+        revisions = {"vm-1": {"g": 5}, "vm-2": {"g": 7}, "vm-3": {"h": 1}}
+        statuses = holder_check.GatewayStatuses(
+            tuple(
+                (vm(name), peers.GatewayStatus("run", 1, False, tables=tables))
+                for name, tables in revisions.items()
+            ),
+            are_complete=True,
+        )
+
+        def names(known: dict[str, int]) -> list[str]:
+            return [v.name for v in statuses.vms_with_newer_tables(known)]
+
+        assert names({}) == ["vm-2", "vm-3"]
+        assert names({"g": 7}) == ["vm-3"]
+        assert names({"g": 6, "h": 1}) == ["vm-2"]
--- a/tests/gateway/ownership/test_lease.py
+++ b/tests/gateway/ownership/test_lease.py
@@ -85,6 +85,8 @@
                 on_acquired=lambda lease, predecessors_stop_s: None,
                 on_predecessors_stopped=lambda: None,
                 is_recovery_due=lambda epoch: False,
+                get_acted_epoch=lambda: 0,
+                get_table_revisions=dict,
                 on_newer_tables=ignore_tables,
                 on_lost=lambda: None,
                 on_holder_status=lambda status: None,
@@ -116,3 +118,57 @@
         """Guards against a lost holder that no gateway replaces."""
         async with self.run_deputy(unresponsive_s=60.0) as lease_store:
             await rig.until(lambda: self.read_epoch(lease_store) == 4)
+
+
+class SilentGateways:
+    """Client for other gateways, none of which responds."""
+
+    async def ask(self, vm: models.Vm, _: peers.Request):
+        """Times out."""
+        await asyncio.sleep(_TIMEOUT_S)
+        return result.Err(exceptions.PeerUnresponsive(vm.name, "silent"))
+
+
+class TestRecovery:
+    """A holder that waits before it acts in a restored store."""
+
+    async def test_lease_is_confirmed_during_the_wait(self):
+        """Guards against a waiting holder that is replaced and waits again."""
+        async with contextlib.AsyncExitStack() as stack:
+            lease_store = store_standin.Store()
+            lease_store.generation = 1
+            port = await http.listen(stack, lease_store.handle)
+            client = store.StoreClient(
+                settings.StoreAddress(("127.0.0.1", port))
+            )
+            stack.callback(client.close)
+            acquired = []
+            manager = leases.LeaseManager(
+                vm("me"),
+                client,
+                SilentGateways(),
+                counters.Counters(),
+                collect_report=asyncio.Future,
+                on_acquired=lambda lease, stop_s: acquired.append(lease),
+                on_predecessors_stopped=lambda: None,
+                is_recovery_due=lambda epoch: True,
+                get_acted_epoch=lambda: 0,
+                get_table_revisions=dict,
+                on_newer_tables=ignore_tables,
+                on_lost=lambda: None,
+                on_holder_status=lambda status: None,
+                is_store_up=lambda: True,
+            )
+            manager.update_vms({"me": vm("me"), "silent": vm("silent")})
+            manager.update_lease(None)
+            task = asyncio.create_task(manager.run())
+            stack.callback(task.cancel)
+
+            def is_confirmed_twice() -> bool:
+                calls = [c for c in lease_store.calls if c.startswith("GET")]
+                return len(calls) >= 2
+
+            await rig.until(is_confirmed_twice)
+            assert manager.is_holder
+            assert not manager.may_act
+            assert not acquired
--- a/tests/gateway/test_peers.py
+++ b/tests/gateway/test_peers.py
@@ -2,10 +2,12 @@
 
 import asyncio
 
+import msgspec
 import pynng
 import result
 
 from berylweir.gateway import models
+from berylweir.gateway.ownership import lease_history
 from berylweir.gateway.peers import exceptions
 from berylweir.gateway.peers import messages
 from berylweir.gateway.peers import task as peers
@@ -31,3 +33,52 @@
                 reply = await asking
         assert isinstance(reply, result.Err)
         assert isinstance(reply.err_value, exceptions.PeerUnresponsive)
+
+
+class TestOlderMessages:
+    """Messages of gateways of an earlier release."""
+
+    def test_status_without_newer_fields_is_decoded(self):
+        """Guards against gateways that don't understand each other."""
+        older = msgspec.msgpack.encode(
+            {
+                "type": "standing",
+                "incarnation": "run",
+                "epoch": 3,
+                "is_holder": True,
+            }
+        )
+        match messages.decode_reply(older):
+            case result.Ok(messages.GatewayStatus() as status):
+                assert messages.decode_former_leases(status.former) is None
+            case other:
+                raise AssertionError(other)
+
+    def test_announcement_without_holder_is_decoded(self):
+        """Guards against a former holder that doesn't resign."""
+        older = msgspec.msgpack.encode({"type": "resign", "epoch": 3})
+        assert messages.decode_request(older) == result.Ok(
+            messages.ResignLease(3)
+        )
+
+
+class TestFormerLeases:
+    """Leases that a status names."""
+
+    def test_encoding_keeps_all(self):
+        """Guards against a holder that nobody waits for."""
+        former = lease_history.FormerLeases(
+            (
+                lease_history.FormerLease("vm-1", "a", 4),
+                lease_history.FormerLease("vm-2", "b", 5),
+            ),
+            is_last=True,
+        )
+        status = messages.GatewayStatus(
+            "run", 6, False, former=messages.encode_former_leases(former)
+        )
+        match messages.decode_reply(messages.encode(status)):
+            case result.Ok(messages.GatewayStatus() as decoded):
+                assert messages.decode_former_leases(decoded.former) == former
+            case other:
+                raise AssertionError(other)
--- a/tests/gateway/test_restored_store.py
+++ b/tests/gateway/test_restored_store.py
@@ -108,6 +108,44 @@
         """Returns whether one server alone holds all keys of a sample."""
         return all(self.owners(rig, key) == [server] for key in self._KEYS)
 
+    async def lose_move(self, rig: rigs.Rig) -> None:
+        """Restores the store to a copy from before a move of all keys.
+
+        The move from s1 to s2 is known to vm-1 alone, which the store refuses
+        from then on.
+        """
+        await rig.configure({"slots": True}, [rigs.route("k", "slots")], 1)
+        await rig.add_server("s1", "slots", is_keyed=True)
+        await rig.add_gateway("vm-1")
+        await rigs.until(lambda: self.are_all_owned_by(rig, "s1"))
+        copy = rig.store.copy()
+        await rig.add_server("s2", "slots", is_keyed=True)
+        ready = rig.store.get("servers", "s1")["spec"]
+        leaving = ready | {"status": ready["status"] | {"state": "draining"}}
+        await rig.store.put("servers", "s1", leaving)
+        await rigs.until(lambda: self.are_all_owned_by(rig, "s2"))
+        added = rig.store.get("servers", "s2")["spec"]
+        rig.cut_off.add("vm-1")
+        await rig.store.restore(copy)
+        await rig.store.put("servers", "s2", added)
+
+    async def watch_owners(self, rig: rigs.Rig, server: str) -> None:
+        """Checks that no key has two owners until a server has all of them.
+
+        Ends once a gateway has acted in the generation of the store.
+        """
+        epoch = revisions.next_epoch(0, rig.store.generation)
+        async with asyncio.timeout(40.0):
+            while True:
+                for key in self._KEYS:
+                    assert len(self.owners(rig, key)) <= 1
+                table = rig.store.get("berylweir-keys", "slots")["spec"]
+                if table["epoch"] >= epoch and self.are_all_owned_by(
+                    rig, server
+                ):
+                    return
+                await asyncio.sleep(0.01)
+
     async def test_newest_tables_are_used_if_no_holder_has_acted_yet(self):
         """Guards against old tables if a holder of the generation has ended.
 
@@ -115,22 +153,7 @@
         the restored table (soak seed 56).
         """
         async with rigs.Rig() as rig:
-            await rig.configure({"slots": True}, [rigs.route("k", "slots")], 1)
-            await rig.add_server("s1", "slots", is_keyed=True)
-            await rig.add_gateway("vm-1")
-            await rigs.until(lambda: self.are_all_owned_by(rig, "s1"))
-            copy = rig.store.copy()
-            await rig.add_server("s2", "slots", is_keyed=True)
-            ready = rig.store.get("servers", "s1")["spec"]
-            leaving = ready | {
-                "status": ready["status"] | {"state": "draining"}
-            }
-            await rig.store.put("servers", "s1", leaving)
-            await rigs.until(lambda: self.are_all_owned_by(rig, "s2"))
-            added = rig.store.get("servers", "s2")["spec"]
-            rig.cut_off.add("vm-1")
-            await rig.store.restore(copy)
-            await rig.store.put("servers", "s2", added)
+            await self.lose_move(rig)
             ended = {
                 "holder": "",
                 "incarnation": "",
@@ -138,18 +161,21 @@
             }
             await rig.store.put("berylweir", "lease", ended)
             await rig.add_gateway("vm-2")
+            await self.watch_owners(rig, "s2")
 
-            def is_acting() -> bool:
-                for key in self._KEYS:
-                    assert len(self.owners(rig, key)) <= 1
-                table = rig.store.get("berylweir-keys", "slots")["spec"]
-                epoch: int = table["epoch"]
-                return epoch > ended["epoch"]
+    async def test_grants_of_a_silent_holder_expire_first(self):
+        """Guards against two owners by moves that only the holder knows.
 
-            await rigs.until(is_acting)
-            for _ in range(100):
-                assert is_acting()
-                await asyncio.sleep(0.01)
+        The holder doesn't respond, and goes on granting for its authority
+        (soak seed 218).
+        """
+        async with rigs.Rig() as rig:
+            await self.lose_move(rig)
+            known = rig.store.get("berylweir", "vm.vm-1")["spec"]
+            unreachable = known | {"port": rigs.free_port()}
+            await rig.store.put("berylweir", "vm.vm-1", unreachable)
+            await rig.add_gateway("vm-2")
+            await self.watch_owners(rig, "s1")
 
 
 class TestRegistration:
