--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -19,7 +19,7 @@
 _STATEMENT_REGRESSIONS = (
     46,  # A source of an inherited move took a grant of the earlier keeper.
     114,  # A restarted server took a grant for its previous instance.
-    56,  # The proxy delivered a grant of a reset connection; see KNOWN-RED.txt.
+    56,  # A holder took the key tables of a restored store for current.
 )
 
 
