Don't wait for a holder of whose resignation a gateway knows

Seen by callers: with a copy of the store from before a holder resigned, all keys would have been unserved for up to 16.7 s if its VM was then shut down.

Cause: the lease in the copy names the holder, while the gateways that respond know the same epoch without one. Both counted, so the holder was awaited.

Evidence: the new test of recovery_wait, by which vm-2 was awaited until the latest time before the change; it passes with it.

Change: an epoch that any gateway knows as resigned has no holder to wait for. A gateway stops granting before it resigns, so its grants expire in 2.65 s.

--- a/berylweir/gateway/ownership/recovery_wait.py
+++ b/berylweir/gateway/ownership/recovery_wait.py
@@ -121,7 +121,11 @@
 def _known_leases(
     restored_lease: models.Lease | None, responses: Mapping[str, Response]
 ) -> set[lease_history.FormerLease]:
-    """Returns all leases of earlier generations that any gateway knows."""
+    """Returns all leases of earlier generations that any gateway knows.
+
+    One that was resigned is only returned without its holder, since the copy
+    and some gateways may not know of that.
+    """
     known = {
         lease
         for response in responses.values()
@@ -136,7 +140,12 @@
                 restored_lease.epoch,
             )
         )
-    return known
+    resigned = {lease.epoch for lease in known if not lease.holder}
+    return {
+        lease
+        for lease in known
+        if not lease.holder or lease.epoch not in resigned
+    }
 
 
 def _are_all_known(
--- a/tests/gateway/ownership/test_recovery_wait.py
+++ b/tests/gateway/ownership/test_recovery_wait.py
@@ -117,6 +117,14 @@
         wait = plan({"vm-1": response(former(""))})
         assert wait == recovery_wait.Wait(_STARTED_S + _LIFETIME_S, frozenset())
 
+    def test_copy_from_before_a_resignation_is_not_trusted(self):
+        """Guards against waiting for a VM that was shut down."""
+        restored_lease = models.Lease("vm-2", "run", 4, 1)
+        wait = plan(
+            {"vm-1": response(former(""))}, restored_lease=restored_lease
+        )
+        assert wait == recovery_wait.Wait(_STARTED_S + _LIFETIME_S, frozenset())
+
     def test_most_gateways_suffice(self):
         """Guards against a long wait if the store was down before."""
         known = former("vm-2", is_last=False)
