Hand the lease over from a holder that reaches no servers

Cause: whether a holder is lost was decided by the store and the other gateways alone. Both reach such a holder, so it kept the lease and renewed no grant; all keys lost their owners when their grants expired.

Change: the holder compares which owners respond to its grants with those that have served other VMs since, by their reports. If most are silent to it and others reach them, it releases the lease and offers it to the VM that reported the most responses. A gateway that knows that it reaches no server takes a lease last. Reports count only from a VM's second one after the silence began, since the first may cover requests from before; so a crash of all servers causes no hand-over. OWNER isn't touched: the lease changes hands by the same conditional write, and the successor raises all tokens before it grants.

The usage reports move to a module of their own.

--- a/berylweir/gateway/messages.py
+++ b/berylweir/gateway/messages.py
@@ -345,11 +345,13 @@
         vm: Name of the VM.
         keys: Keys of the requests by keyed group, one per request.
         servers: Requests to each server, by the server's name.
+        is_isolated: Whether the VM reaches no server.
     """
 
     vm: str
     keys: Mapping[str, tuple[int, ...]]
     servers: Mapping[str, ServerUsage]
+    is_isolated: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/berylweir/gateway/ownership/election.py
+++ b/berylweir/gateway/ownership/election.py
@@ -84,10 +84,22 @@
     )
 
 
-def takeover_delay_s(rank: int) -> float:
+def takeover_delay_s(
+    rank: int, *, was_offered: bool = False, reaches_servers: bool = True
+) -> float:
     """Returns how long to wait before taking a lost lease, in seconds.
 
+    A gateway that reaches no servers couldn't grant keys to them, so it comes
+    after all others.
+
     Args:
         rank: Rank of the gateway in the order of succession.
+        was_offered: Whether the last holder offered this gateway the lease.
+        reaches_servers: Whether the gateway reaches any server.
     """
-    return _TAKEOVER_STAGGER_S * min(rank, DEPUTY_COUNT + 2)
+    if was_offered:
+        return 0.0
+    steps = min(rank, DEPUTY_COUNT + 2)
+    if not reaches_servers:
+        steps += DEPUTY_COUNT + 3
+    return _TAKEOVER_STAGGER_S * steps
--- a/berylweir/gateway/ownership/granting.py
+++ b/berylweir/gateway/ownership/granting.py
@@ -29,6 +29,9 @@
 _PUBLISH_DELAY_S = 0.02
 
 GetTable = Callable[[str], models.KeyTable | None]
+# Gets the server of a grant, when it was sent on the boot clock, in seconds,
+# and whether the server responded.
+OnGrantSent = Callable[[models.ServerInstance, float, bool], None]
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -61,6 +64,7 @@
         metrics: counters.Counters,
         *,
         max_grant_ms: float = grant_expiry.GRANT_DURATION_S * 1000.0,
+        on_grant_sent: OnGrantSent = lambda instance, sent_s, responded: None,
     ) -> None:
         """Creates the granter; `start_epoch` activates it.
 
@@ -76,6 +80,7 @@
             metrics: Counters.
             max_grant_ms: Longest duration of a grant that servers accept, in
                 ms.
+            on_grant_sent: Called after each grant.
         """
         self._get_table = get_table
         self._grant_duration_ms = int(
@@ -85,6 +90,7 @@
         self._on_move_completed = on_move_completed
         self._on_superseded = on_superseded
         self._on_server_lost = on_server_lost
+        self._on_grant_sent = on_grant_sent
         self._metrics = metrics
         self._servers: Mapping[str, models.BackendServer] = {}
         self._replaced_instances: frozenset[models.ServerInstance] = frozenset()
@@ -312,9 +318,10 @@
     ) -> grant_client.SendOutcome:
         """Sends a grant and records when it expires."""
         expiry = self._expiries.for_server(instance)
-        expiry.record_sent(clock.boot_s())
+        sent_s = clock.boot_s()
+        expiry.record_sent(sent_s)
         try:
-            return await client.send(
+            outcome = await client.send(
                 grants.Grant(
                     key_range.first,
                     key_range.last,
@@ -326,6 +333,14 @@
         except asyncio.CancelledError:
             expiry.record_abandoned(clock.boot_s())
             raise
+        self._on_grant_sent(
+            instance,
+            sent_s,
+            not isinstance(
+                outcome, grant_client.NotSent | grant_client.NoResponse
+            ),
+        )
+        return outcome
 
     def _handle_outcome(
         self,
--- a/berylweir/gateway/ownership/lease.py
+++ b/berylweir/gateway/ownership/lease.py
@@ -8,6 +8,7 @@
 from collections.abc import Awaitable
 from collections.abc import Callable
 from collections.abc import Mapping
+from collections.abc import Sequence
 import contextlib
 import dataclasses
 import logging
@@ -41,11 +42,13 @@
 # Additional delay before the first lease is created, in seconds, so that the
 # other gateways don't get the object with its holder's address after the lease.
 _FIRST_LEASE_DELAY_S = 0.15
-
+# Time for which a gateway that handed the lease over because it was cut off
+# from the servers counts as still cut off, in seconds.
+_HAND_OVER_PAUSE_S = 10.0
 # Shortest time between two reports to the holder, in seconds, however urgent.
 _MIN_REPORT_PAUSE_S = 0.2
 
-CollectReport = Callable[[], "asyncio.Future[peers.ReportUsage]"]
+CollectReport = Callable[[], Awaitable[peers.ReportUsage]]
 
 
 class LeaseManager:
@@ -73,6 +76,7 @@
         on_lost: Callable[[], None],
         on_holder_status: Callable[[peers.GatewayStatus], None],
         is_store_up: Callable[[], bool],
+        is_isolated: Callable[[], bool] = lambda: False,
     ) -> None:
         """Creates a manager that hasn't read the lease yet.
 
@@ -100,6 +104,7 @@
                 holder.
             is_store_up: Returns whether the store answers this VM or a gateway
                 that it follows.
+            is_isolated: Returns whether this VM reaches no backend server.
         """
         self._local_vm = local_vm
         self._store = lease_store.LeaseStore(client, metrics)
@@ -131,6 +136,10 @@
         self._report_requested = asyncio.Event()
         self._is_resigning = False
         self._is_store_up = is_store_up
+        self._is_isolated = is_isolated
+        self._handed_over_s = float("-inf")
+        # Revision of a released lease that its holder offered this gateway.
+        self._offered_revision: int | None = None
         self._previous_lease: models.Lease | None = None
         self._on_holder_status = on_holder_status
         # Epoch of its own for which this gateway has started to act.
@@ -276,10 +285,56 @@
         if lease is None or not self.is_holder:
             return
         self._on_lost()
+        await self._release(lease)
+
+    async def hand_over(self, vms: Sequence[str]) -> None:
+        """Releases the lease and offers it to another gateway.
+
+        Args:
+            vms: VMs whose gateways can hold it, the preferred ones first.
+        """
+        lease = self._lease
+        if lease is None or not self.is_holder:
+            return
+        self._handed_over_s = clock.boot_s()
+        self._lease = dataclasses.replace(lease, holder="", incarnation="")
+        self._on_lost()
+        successor = next((self._vms[n] for n in vms if n in self._vms), None)
+        match await self._release(lease):
+            case lease_store.Written(released):
+                self.update_lease(released)
+                if successor is not None:
+                    await self._peer_client.ask(
+                        successor,
+                        peers.OfferLease(released.epoch, released.revision),
+                    )
+            case lease_store.Superseded(stored):
+                if stored is not None:
+                    self.update_lease(stored)
+            case lease_store.NotWritten():
+                # The other gateways take the lease once it isn't confirmed.
+                self._metrics.count("lease.not_released")
+
+    def accept_offer(self, epoch: int, revision: int) -> None:
+        """Has a lease taken that its holder released and offered.
+
+        Args:
+            epoch: Epoch of the released lease.
+            revision: Revision of the store at which it was released.
+        """
+        if self._is_isolated() or self._is_resigning:
+            return
+        self._offered_revision = revision
+        self.update_lease(models.Lease("", "", epoch, revision))
+        self.report_soon()
+
+    async def _release(self, lease: models.Lease) -> lease_store.WriteOutcome:
+        """Writes that a lease has no holder."""
         outcome = await self._store.release(lease)
         _LOGGER.info(
             "lease resigned", extra={"outcome": type(outcome).__name__}
         )
+        return outcome
 
     def _is_own(self, lease: models.Lease | None) -> bool:
         return (
@@ -418,8 +473,16 @@
         waits, so that gateways rarely compete.
         """
         lease = self._lease
-        rank = self._succession_rank(lease)
-        delay_s = election.takeover_delay_s(rank)
+        delay_s = election.takeover_delay_s(
+            self._succession_rank(lease),
+            was_offered=(
+                lease is not None and lease.revision == self._offered_revision
+            ),
+            reaches_servers=not (
+                self._is_isolated()
+                or clock.boot_s() - self._handed_over_s < _HAND_OVER_PAUSE_S
+            ),
+        )
         if lease is None:
             delay_s += _FIRST_LEASE_DELAY_S
         if await self._wait_for_change(delay_s) and self._lease is not lease:
--- a/berylweir/gateway/ownership/task.py
+++ b/berylweir/gateway/ownership/task.py
@@ -22,13 +22,14 @@
 from berylweir.gateway.dispatch import task as dispatch
 from berylweir.gateway.ownership import balance
 from berylweir.gateway.ownership import candidates
-from berylweir.gateway.ownership import demand
 from berylweir.gateway.ownership import granting
 from berylweir.gateway.ownership import lease as leases
 from berylweir.gateway.ownership import models as ownership
+from berylweir.gateway.ownership import owner_contact
 from berylweir.gateway.ownership import table_publisher
 from berylweir.gateway.ownership import table_recovery
 from berylweir.gateway.ownership import tables
+from berylweir.gateway.ownership import usage_reports
 from berylweir.gateway.peers import messages as peers
 from berylweir.gateway.peers import task as peer_task
 from berylweir.gateway.replication import codec
@@ -104,7 +105,6 @@
         self._lease_client = lease_client
         self._peer_client = peer_client
         self._inbox = inbox
-        self._dispatcher = dispatcher
         self._metrics = metrics
         self._groups: Mapping[str, models.ServerGroup] = {}
         self._servers: Mapping[str, models.BackendServer] = {}
@@ -116,9 +116,10 @@
         # Groups whose tokens this keeper has raised under its present lease.
         # The granter gets the tables of these groups only.
         self._groups_with_new_tokens: set[str] = set()
-        self._demand_estimators: dict[str, demand.DemandEstimator] = {}
-        self._server_statistics = demand.ServerStatistics()
-        self._candidates = candidates.CandidateSelector(self._server_statistics)
+        self._reports = usage_reports.UsageReports(local_vm.name, dispatcher)
+        self._candidates = candidates.CandidateSelector(
+            self._reports.server_statistics
+        )
         self._state_changed = asyncio.Event()
         self._move_completed = asyncio.Event()
         self._lease_acquired_s = 0.0
@@ -127,7 +128,7 @@
             lease_client,
             peer_client,
             metrics,
-            collect_report=self._collect_report,
+            collect_report=self._reports.collect_report,
             on_acquired=self._on_lease_acquired,
             on_predecessors_stopped=self._on_predecessors_stopped,
             is_recovery_due=self._is_recovery_due,
@@ -139,6 +140,7 @@
             on_lost=self._on_lease_lost,
             on_holder_status=self._refresh_stale_tables,
             is_store_up=is_store_up,
+            is_isolated=lambda: self._reports.is_isolated,
         )
         self._publisher = table_publisher.TablePublisher(local_vm, peer_client)
         self._granter = granting.Granter(
@@ -149,6 +151,7 @@
             self._state_changed.set,
             metrics,
             max_grant_ms=bounds.max_hold_ms,
+            on_grant_sent=self._record_grant,
         )
 
     async def run(self, context: supervision.ChildContext) -> None:
@@ -194,6 +197,8 @@
                 self._record_usage(peers.decode_usage(request))
             case peers.ResignLease(epoch, holder, incarnation):
                 self._lease.handle_newer_epoch(epoch, holder, incarnation)
+            case peers.OfferLease(epoch, revision):
+                self._lease.accept_offer(epoch, revision)
             case (
                 peers.GetObjects()
                 | peers.GetChanges()
@@ -258,31 +263,9 @@
                 self._granter.apply_table(table)
 
     def _record_usage(self, usage: messages.KeyUsage) -> None:
-        for group, keys in usage.keys.items():
-            self._demand_estimators.setdefault(
-                group, demand.DemandEstimator()
-            ).record(keys)
-        self._server_statistics.record(usage.servers, clock.boot_s())
-        if any(s.leaving_born_ms is not None for s in usage.servers.values()):
+        if self._reports.record(usage):
             self._state_changed.set()
 
-    def _collect_report(self) -> "asyncio.Future[peers.ReportUsage]":
-        """Returns a future of a report with the dispatcher's key usage."""
-        reply: asyncio.Future[messages.KeyUsage] = (
-            asyncio.get_running_loop().create_future()
-        )
-        report: asyncio.Future[peers.ReportUsage] = (
-            asyncio.get_running_loop().create_future()
-        )
-
-        def forward(done: "asyncio.Future[messages.KeyUsage]") -> None:
-            if not report.done() and not done.cancelled():
-                report.set_result(peers.encode_usage(done.result()))
-
-        reply.add_done_callback(forward)
-        self._dispatcher.post(messages.CollectKeyUsage(reply))
-        return report
-
     def _refresh_stale_tables(self, status: peers.GatewayStatus) -> None:
         """Requests a read of the tables if the holder has newer ones."""
         for name, revision in status.tables.items():
@@ -297,6 +280,7 @@
     ) -> None:
         self._groups_with_new_tokens.clear()
         self._lease_acquired_s = clock.boot_s()
+        self._reports.owner_contact.start_epoch()
         self._granter.start_epoch(predecessors_stop_s)
         self._state_changed.set()
 
@@ -337,6 +321,30 @@
         self._groups_with_new_tokens.clear()
         self._state_changed.set()
 
+    def _record_grant(
+        self, instance: models.ServerInstance, sent_s: float, responded: bool
+    ) -> None:
+        self._reports.owner_contact.record_grant(
+            instance, sent_s, has_response=responded
+        )
+
+    async def _hand_over_if_cut_off(self) -> bool:
+        """Hands the lease over if only other gateways reach the owners."""
+        owners = {
+            key_range.owner
+            for table in self._tables.values()
+            for key_range in table.ranges
+            if key_range.owner is not None
+        }
+        match self._reports.owner_contact.decide(owners):
+            case owner_contact.KeepLease():
+                return False
+            case owner_contact.HandOverLease(vms):
+                self._metrics.count("lease.handed_over")
+                _LOGGER.warning("lease handed over", extra={"vms": vms[:3]})
+                await self._lease.hand_over(vms)
+                return True
+
     # Tables
 
     async def _balance_tables(self) -> None:
@@ -352,13 +360,13 @@
                 self._state_changed.clear()
                 await self._state_changed.wait()
                 continue
+            if await self._hand_over_if_cut_off():
+                continue
             await self._write_completed_moves()
             is_due = loop.time() >= next_balance_s
             if is_due:
                 next_balance_s = loop.time() + _BALANCE_INTERVAL_S
-                reply: asyncio.Future[messages.KeyUsage] = loop.create_future()
-                self._dispatcher.post(messages.CollectKeyUsage(reply))
-                self._record_usage(await reply)
+                self._record_usage(await self._reports.collect())
             for name, group in list(self._groups.items()):
                 if group.is_keyed and self._lease.may_act:
                     await self._balance_group(name, is_due=is_due)
@@ -409,9 +417,7 @@
         moves = balance.plan_moves(
             table,
             eligible,
-            self._demand_estimators.setdefault(
-                name, demand.DemandEstimator()
-            ).estimate(clock.boot_s()),
+            self._reports.demand(name),
             rebalance=is_due,
         )
         startable = [m for m in moves if self._can_start(table, m)]
--- a/berylweir/gateway/peers/messages.py
+++ b/berylweir/gateway/peers/messages.py
@@ -52,6 +52,18 @@
     incarnation: str = ""
 
 
+class OfferLease(msgspec.Struct, frozen=True, tag="offer"):
+    """Offers a lease that its holder has just released.
+
+    Attributes:
+        epoch: Epoch of the released lease.
+        revision: Revision of the store at which it was released.
+    """
+
+    epoch: int
+    revision: int
+
+
 class GetObjects(msgspec.Struct, frozen=True, tag="view"):
     """Asks for the newest objects of a kind that the gateway knows.
 
@@ -270,6 +282,7 @@
 Request = (
     ReportUsage
     | ResignLease
+    | OfferLease
     | GetObjects
     | GetStatus
     | GetChanges
--- a/tests/gateway/ownership/test_election.py
+++ b/tests/gateway/ownership/test_election.py
@@ -39,3 +39,21 @@
     def test_an_unregistered_gateway_has_a_rank(self):
         """Guards against a first start at which no gateway takes the lease."""
         assert election.succession_rank(vm("me", 5.0), {}, "", 0) == 0
+
+
+class TestTakeoverDelay:
+    """The wait before a lost lease is taken."""
+
+    def test_a_gateway_without_servers_comes_last(self):
+        """Guards against an isolated gateway as the next holder."""
+        ranks = range(100)
+        reaching = [election.takeover_delay_s(rank) for rank in ranks]
+        isolated = [
+            election.takeover_delay_s(rank, reaches_servers=False)
+            for rank in ranks
+        ]
+        assert max(reaching) < min(isolated)
+
+    def test_an_offered_lease_is_taken_at_once(self):
+        """Guards against keys without an owner for longer than needed."""
+        assert election.takeover_delay_s(50, was_offered=True) == 0.0
--- a/tests/gateway/ownership/test_lease.py
+++ b/tests/gateway/ownership/test_lease.py
@@ -35,9 +35,11 @@
 
     def __init__(self, unresponsive_s: float) -> None:
         self._responds_at_s = time.monotonic() + unresponsive_s
+        self.requests: list[tuple[str, peers.Request]] = []
 
-    async def ask(self, vm: models.Vm, _: peers.Request):
+    async def ask(self, vm: models.Vm, request: peers.Request):
         """Times out at first, and later responds as the holder."""
+        self.requests.append((vm.name, request))
         if time.monotonic() < self._responds_at_s:
             await asyncio.sleep(_TIMEOUT_S)
             return result.Err(exceptions.PeerUnresponsive(vm.name, "silent"))
@@ -172,3 +174,105 @@
             assert manager.is_holder
             assert not manager.may_act
             assert not acquired
+
+
+class TestHandOver:
+    """A holder that reaches no servers, and the gateway that it chooses."""
+
+    @contextlib.asynccontextmanager
+    async def run_manager(self, holder: str, is_isolated: bool = False):
+        """Runs a gateway, `me`, while it or `other` holds the lease.
+
+        Yields:
+            The manager, the store with the lease and the other gateways.
+        """
+        async with contextlib.AsyncExitStack() as stack:
+            lease_store = store_standin.Store()
+            port = await http.listen(stack, lease_store.handle)
+            vms = {name: vm(name) for name in ("me", "other")}
+            spec = {
+                "holder": holder,
+                "incarnation": vms[holder].incarnation,
+                "epoch": 3,
+            }
+            await lease_store.put(
+                objects.GATEWAY_KIND, objects.LEASE_NAME, spec
+            )
+            client = store.StoreClient(
+                settings.StoreAddress(("127.0.0.1", port))
+            )
+            stack.callback(client.close)
+
+            def build_report() -> asyncio.Future[peers.ReportUsage]:
+                report = asyncio.get_running_loop().create_future()
+                report.set_result(peers.ReportUsage("me", {}, {}))
+                return report
+
+            gateways = PeerGateways(unresponsive_s=0.0)
+            manager = leases.LeaseManager(
+                vms["me"],
+                client,
+                gateways,
+                counters.Counters(),
+                collect_report=build_report,
+                on_acquired=lambda lease, predecessors_stop_s: None,
+                on_predecessors_stopped=lambda: None,
+                is_recovery_due=lambda epoch: False,
+                get_acted_epoch=lambda: 3,
+                get_table_revisions=dict,
+                on_newer_tables=ignore_tables,
+                on_lost=lambda: None,
+                on_holder_status=lambda status: None,
+                is_store_up=lambda: True,
+                is_isolated=lambda: is_isolated,
+            )
+            manager.update_vms(vms)
+            manager.update_lease(
+                models.Lease(
+                    holder, vms[holder].incarnation, 3, lease_store.revision
+                )
+            )
+            task = asyncio.create_task(manager.run())
+            stack.callback(task.cancel)
+            yield manager, lease_store, gateways
+
+    def read_lease(self, lease_store: store_standin.Store) -> dict:
+        """Returns the lease in the store."""
+        stored = lease_store.get(objects.GATEWAY_KIND, objects.LEASE_NAME)
+        assert stored is not None
+        spec: dict = stored["spec"]
+        return spec
+
+    async def test_the_lease_is_released_and_offered(self):
+        """Guards against a holder without contact that keeps the lease."""
+        async with self.run_manager("me") as (manager, lease_store, gateways):
+            await rig.until(lambda: manager.may_act)
+            await manager.hand_over(["gone", "other"])
+            assert not manager.is_holder
+            assert self.read_lease(lease_store)["holder"] == ""
+            offer = peers.OfferLease(3, lease_store.revision)
+            assert ("other", offer) in gateways.requests
+
+    async def test_an_offered_lease_is_taken(self):
+        """Guards against an offer that has no effect."""
+        async with self.run_manager("other") as (manager, lease_store, _):
+            await lease_store.put(
+                objects.GATEWAY_KIND,
+                objects.LEASE_NAME,
+                {"holder": "", "incarnation": "", "epoch": 3},
+            )
+            manager.accept_offer(3, lease_store.revision)
+            await rig.until(
+                lambda: self.read_lease(lease_store)["holder"] == "me"
+            )
+
+    async def test_an_isolated_gateway_ignores_an_offer(self):
+        """Guards against a lease that moves between isolated gateways."""
+        async with self.run_manager("other", is_isolated=True) as (
+            manager,
+            lease_store,
+            _,
+        ):
+            manager.accept_offer(3, lease_store.revision + 1)
+            assert not manager.is_holder
+            assert self.read_lease(lease_store)["holder"] == "other"
