Bound the back-off from an unreachable server

Callers saw: a VM that can't reach its servers for long stops responding for a moment, again and again, and its dispatcher loses the state of all servers.

Cause: the back-off doubles with each failure without a limit on the exponent. Requests of groups without keys also go to servers in back-off if there are no others, so failures add up quickly. After 1024 in a row the float overflows, and the error ends the dispatcher; it is restarted with the same result.

Evidence: seen in a test of forwarding that asked an isolated gateway without pause: `OverflowError` in `record_result`, then `child crashed`. The new test raises it without the change.

Change: the number of doublings is limited; the longest back-off stays 8 s.

--- a/berylweir/gateway/dispatch/reachability.py
+++ b/berylweir/gateway/dispatch/reachability.py
@@ -13,6 +13,7 @@
 # consecutive failure up to the maximum.
 _BACKOFF_BASE_S = 0.6
 _BACKOFF_MAX_S = 8.0
+_MAX_DOUBLINGS = 16  # A float overflows after 1024 doublings.
 # A zone counts as unreachable once connections to this many different servers
 # failed without a response from any server of the zone in between.
 _MIN_UNREACHABLE_SERVERS = 3
@@ -63,7 +64,8 @@
         if attempt_result is messages.AttemptResult.UNREACHABLE:
             backoff_s = min(
                 _BACKOFF_MAX_S,
-                _BACKOFF_BASE_S * 2.0**self._consecutive_failures,
+                _BACKOFF_BASE_S
+                * 2.0 ** min(_MAX_DOUBLINGS, self._consecutive_failures),
             )
             self._consecutive_failures += 1
             self._blocked_until_s = now_s + backoff_s
--- a/tests/gateway/dispatch/test_reachability.py
+++ b/tests/gateway/dispatch/test_reachability.py
@@ -26,6 +26,14 @@
             now_s += 0.1
         assert len(attempt_times_s) <= 8
 
+    def test_backoff_stays_bounded_after_many_failures(self):
+        """Guards against an overflow that ends the dispatcher."""
+        server_reachability = reachability.ServerReachability()
+        for _ in range(2000):
+            server_reachability.record_result(_UNREACHABLE, 0.0)
+        assert not server_reachability.allows_request(7.9)
+        assert server_reachability.allows_request(8.1)
+
     def test_only_one_request_at_a_time_probes_an_unreachable_server(self):
         """Guards against many requests that wait for the same dead server."""
         server_reachability = reachability.ServerReachability()
