Split reading a response body from the attempt

The client for other gateways reads answers in the same way: up to 1 MiB as a whole, more as a stream that ends at the caller's deadline. Behaviour is unchanged; the attempt maps the end of a stream to its result.

--- a/berylweir/gateway/exchange/attempt.py
+++ b/berylweir/gateway/exchange/attempt.py
@@ -1,14 +1,13 @@
 """One attempt: sends a request to a backend server and reads the response."""
 
 import asyncio
-from collections.abc import AsyncIterator
 
 from berylweir.gateway import messages
 from berylweir.gateway import models
 from berylweir.gateway.dispatch import task as dispatch
-from berylweir.gateway.exchange import exceptions
 from berylweir.gateway.exchange import models as exchange
 from berylweir.gateway.exchange import outcomes
+from berylweir.gateway.exchange import responses
 from berylweir.platform import requests
 from berylweir.router.backends import connection as http
 from berylweir.router.backends import exceptions as http_exceptions
@@ -16,13 +15,16 @@
 # Connect timeout, in seconds. It is below the 1 s after which TCP retransmits a
 # SYN that a server with a full accept queue dropped.
 _CONNECT_TIMEOUT_S = 0.6
-# A response of up to this many bytes is buffered before it is returned, so that
-# the request can be retried on another server if the response is truncated.
-_MAX_BUFFERED_BYTES = 1_048_576
 # The body of a rejection is read, so that the connection can be reused, up to
 # this many bytes and for this time in seconds. Rejections are short.
 _MAX_REJECTION_BYTES = 65_536
 _REJECTION_TIMEOUT_S = 0.2
+_RESULTS_OF_STREAMS = {
+    responses.StreamEnd.COMPLETE: messages.AttemptResult.SERVED,
+    responses.StreamEnd.BROKEN: messages.AttemptResult.BROKEN,
+    responses.StreamEnd.EXPIRED: messages.AttemptResult.EXPIRED,
+    responses.StreamEnd.ABANDONED: messages.AttemptResult.ABANDONED,
+}
 
 
 class Attempt:
@@ -118,7 +120,9 @@
                 return await self._read_response(
                     request,
                     connection,
-                    _stream_deadline_s(request, requirements),
+                    responses.stream_deadline_s(
+                        request, requirements.deadline_s
+                    ),
                 )
         except TimeoutError:
             return outcomes.OutOfTime(), messages.AttemptResult.EXPIRED
@@ -157,58 +161,15 @@
         if not head.is_signed or head.has_content_encoding:
             # The body isn't the server's response and may have no end.
             return outcomes.Unknown(), messages.AttemptResult.BROKEN
-        chunks: list[bytes] = []
-        size = 0
-        while chunk := await connection.read_body():
-            chunks.append(chunk)
-            size += len(chunk)
-            if size > _MAX_BUFFERED_BYTES:
-                remaining_body = self._stream_body(
-                    connection, stream_deadline_s
-                )
-                answer = exchange.Answer(
-                    head.status,
-                    head.headers,
-                    b"".join(chunks),
-                    remaining_body,
-                    head.content_length,
-                )
-                return outcomes.Answered(answer), messages.AttemptResult.SERVED
-        body = b"".join(chunks)
-        answer = exchange.Answer(
-            head.status,
-            _drop_content_length(head.headers),
-            body,
-            None,
-            len(body),
+        answer = await responses.read_answer(
+            connection, head, stream_deadline_s, self._finish_stream
         )
-        if head.status >= 500:
+        if head.status >= 500 and answer.remaining_body is None:
             return outcomes.ServerFailed(answer), messages.AttemptResult.FAILED
         return outcomes.Answered(answer), messages.AttemptResult.SERVED
 
-    async def _stream_body(
-        self, connection: http.Connection, deadline_s: float
-    ) -> AsyncIterator[bytes]:
-        attempt_result = messages.AttemptResult.ABANDONED
-        try:
-            while True:
-                async with asyncio.timeout_at(deadline_s):
-                    chunk = await connection.read_body()
-                if not chunk:
-                    break
-                if self._loop.time() > deadline_s:
-                    # The timeout doesn't expire while data is available.
-                    raise TimeoutError
-                yield chunk
-            attempt_result = messages.AttemptResult.SERVED
-        except http_exceptions.ExchangeError as error:
-            attempt_result = messages.AttemptResult.BROKEN
-            raise exceptions.ResponseTruncatedError from error
-        except TimeoutError as error:
-            attempt_result = messages.AttemptResult.EXPIRED
-            raise exceptions.ResponseTruncatedError from error
-        finally:
-            self._report_result(attempt_result)
+    def _finish_stream(self, end: responses.StreamEnd) -> None:
+        self._report_result(_RESULTS_OF_STREAMS[end])
 
     def _report_result(self, attempt_result: messages.AttemptResult) -> None:
         if self._is_finished:
@@ -236,22 +197,6 @@
         )
 
 
-def _stream_deadline_s(
-    request: exchange.CallerRequest, requirements: messages.ServerRequirements
-) -> float:
-    """Returns when a streamed response must have ended, on the loop's clock.
-
-    A response that has begun may take longer than the route's timeout, but not
-    longer than the caller waits.
-    """
-    if request.head.deadline_ms is None:
-        return requirements.deadline_s
-    return max(
-        requirements.deadline_s,
-        request.head_received_s + request.head.deadline_ms / 1000.0,
-    )
-
-
 async def _skip_body(connection: http.Connection) -> None:
     """Reads the body of a rejection, unless it is long, slow or malformed."""
     size = 0
@@ -263,9 +208,3 @@
                     return
     except (TimeoutError, http_exceptions.ExchangeError):
         pass  # The connection is closed, since its response isn't complete.
-
-
-def _drop_content_length(
-    headers: tuple[requests.Header, ...],
-) -> tuple[requests.Header, ...]:
-    return tuple(h for h in headers if h[0] != b"content-length")
