--- a/berylweir/gateway/dispatch/connection_pool.py
+++ b/berylweir/gateway/dispatch/connection_pool.py
@@ -2,6 +2,7 @@
 
 import collections
 
+from berylweir.gateway import models
 from berylweir.router.backends import connection as http
 
 # Connections are dropped this long before the server's keep-alive timeout, in
@@ -14,6 +15,24 @@
 # seconds. The server may have dropped the connection without notice, and such a
 # request can't be retried.
 _MAX_IDLE_NON_IDEMPOTENT_S = 1.5
+# Share of a server's connection limit that the VMs divide among themselves for
+# idle connections.
+_CONNECTION_LIMIT_SHARE = 0.8
+
+
+def max_idle_connections(
+    group: models.ServerGroup | None, vm_count: int
+) -> int:
+    """Returns how many idle connections a VM keeps to one server.
+
+    Args:
+        group: Settings of the server's group; None if they aren't known.
+        vm_count: Number of VMs that share the connections of the server.
+    """
+    if group is None:
+        return 1
+    shared_connections = _CONNECTION_LIMIT_SHARE * group.max_connections
+    return max(1, int(shared_connections / max(1, vm_count)))
 
 
 class ConnectionPool:
--- a/berylweir/gateway/dispatch/models.py
+++ b/berylweir/gateway/dispatch/models.py
@@ -7,6 +7,7 @@
 from berylweir.gateway import messages
 from berylweir.gateway import models
 from berylweir.gateway.dispatch import connection_pool
+from berylweir.gateway.dispatch import retry_budget
 from berylweir.gateway.dispatch import slow_start
 
 # Weight of a new service time in the exponentially weighted moving average.
@@ -275,3 +276,20 @@
             _EJECTION_MAX_S, _EJECTION_BASE_S * 2.0**self._consecutive_ejections
         )
         self._consecutive_ejections += 1
+
+
+@dataclasses.dataclass(slots=True)
+class GroupState:
+    """State of a server group on this VM.
+
+    Attributes:
+        settings: Settings of the group.
+        budget: Budget for retries of its requests.
+        table: Newest key table, if its servers own keys.
+        requested_keys: Keys of requests since the last report.
+    """
+
+    settings: models.ServerGroup
+    budget: retry_budget.RetryBudget
+    table: models.KeyTable | None = None
+    requested_keys: list[int] = dataclasses.field(default_factory=list)
--- a/berylweir/gateway/dispatch/reachability.py
+++ b/berylweir/gateway/dispatch/reachability.py
@@ -121,6 +121,13 @@
             collections.defaultdict(ZoneReachability)
         )
 
+    @property
+    def unreachable_zones(self) -> frozenset[str]:
+        """Zones that count as unreachable."""
+        return frozenset(
+            name for name, zone in self._zones.items() if zone.is_unreachable
+        )
+
     def retain(self, instances: Collection[models.ServerInstance]) -> None:
         """Forgets all server instances except the given ones."""
         for removed in self._servers.keys() - set(instances):
--- a/berylweir/gateway/dispatch/task.py
+++ b/berylweir/gateway/dispatch/task.py
@@ -3,14 +3,15 @@
 import asyncio
 from collections.abc import Callable
 from collections.abc import Mapping
-from collections.abc import Sequence
-import dataclasses
 import random
 import typing
 
 from berylweir.gateway import messages
 from berylweir.gateway import models
+from berylweir.gateway.dispatch import availability
+from berylweir.gateway.dispatch import connection_pool
 from berylweir.gateway.dispatch import decisions
+from berylweir.gateway.dispatch import key_usage
 from berylweir.gateway.dispatch import leaving
 from berylweir.gateway.dispatch import models as dispatch
 from berylweir.gateway.dispatch import reachability
@@ -18,25 +19,22 @@
 from berylweir.gateway.dispatch import retry_budget
 from berylweir.gateway.dispatch import slow_start
 from berylweir.gateway.dispatch import statement_log
+from berylweir.gateway.forwarding import state as forwarding
 from berylweir.observability import counters
 from berylweir.router.backends import connection as http
 from berylweir.supervision import mailbox
 from berylweir.supervision import models as supervision
 
 _MAILBOX_SIZE = 10_000  # messages; far more than a VM's concurrent requests
-# Share of a server's connection limit that the VMs divide among themselves for
-# idle connections.
-_CONNECTION_LIMIT_SHARE = 0.8
 # Retry-After while the owner of a key is unreachable, in seconds. Its grant
 # expires after up to 3 s; callers wait for at most a third of their deadline.
 _UNREACHABLE_RETRY_AFTER_S = 1.0
 # Interval at which waiting requests are tried again, in seconds. Load estimates
 # decay with time, so a server may get capacity without a message.
 _WAITING_RETRY_INTERVAL_S = 0.02
-
-# A leaving server still gets requests that no other server can run, for this
-# fraction of the time that the platform allows.
-_LEAVING_USE_SHARE = 0.6
+# Attempts without a usable connection after which a request is rather forwarded
+# than sent to another server that may be reachable.
+_MAX_UNSENT_ATTEMPTS = 2
 
 Inbox = mailbox.Mailbox[messages.DispatcherMessage]
 _Reason = messages.RefusalReason
@@ -47,14 +45,6 @@
     return mailbox.Mailbox("dispatcher", _MAILBOX_SIZE)
 
 
-@dataclasses.dataclass(slots=True)
-class _GroupState:
-    settings: models.ServerGroup
-    budget: retry_budget.RetryBudget
-    table: models.KeyTable | None = None
-    requested_keys: list[int] = dataclasses.field(default_factory=list)
-
-
 class Dispatcher:
     """Chooses a server for each request and enforces the limits on its use.
 
@@ -85,13 +75,19 @@
         self._inbox = inbox
         self._metrics = metrics
         self._rng = random.Random(environment.vm)
-        self._groups: dict[str, _GroupState] = {}
+        self._groups: dict[str, dispatch.GroupState] = {}
         self._servers: dict[models.ServerInstance, dispatch.ServerState] = {}
         self._servers_by_group: dict[str, list[dispatch.ServerState]] = {}
         self._evacuated_zones: frozenset[str] = frozenset()
         self._vms: Mapping[str, models.Vm] = {}
         self._waiting_requests: list[messages.PlaceRequest] = []
         self._reachability = reachability.ReachabilityTracker()
+        self._forwarding = forwarding.ForwardingState(
+            environment.vm,
+            environment.availability_zone,
+            self._rng,
+            metrics,
+        )
         self._statement_log = statement_log.StatementLog(metrics)
         self._leaving = leaving.LeavingInstances()
         self._slow_start_shares = slow_start.SlowStartShares(
@@ -127,6 +123,8 @@
                 self._take_back(message)
             case messages.AttemptFinished():
                 self._finish_attempt(message)
+            case messages.ForwardFinished():
+                self._forwarding.finish(message, self._now_s())
             case messages.ConfigurationChanged(configuration):
                 self._apply_configuration(configuration)
             case messages.ServersChanged(servers):
@@ -141,12 +139,17 @@
                     group.table = table
             case messages.VmsChanged(vms):
                 self._vms = vms
+                self._forwarding.update_vms(vms)
                 self._slow_start_shares.update_vms(vms.keys())
             case messages.LeaseChanged():
                 pass
             case messages.CollectKeyUsage(reply):
                 if not reply.done():
-                    reply.set_result(self._collect_key_usage())
+                    reply.set_result(
+                        key_usage.collect(
+                            self._vm, self._groups, self._servers.values()
+                        )
+                    )
             case _:
                 typing.assert_never(message)
 
@@ -159,7 +162,7 @@
             if group is not None:
                 group.settings = settings
                 continue
-            self._groups[name] = _GroupState(
+            self._groups[name] = dispatch.GroupState(
                 settings,
                 retry_budget.RetryBudget(
                     bounds.retry_ratio,
@@ -176,6 +179,7 @@
         for instance in [key for key in self._servers if key not in instances]:
             self._servers.pop(instance).pool.close()
         self._reachability.retain(instances)
+        self._forwarding.retain_owners(instances)
         self._statement_log.retain(set(instances))
         for instance, server in instances.items():
             state = self._servers.get(instance)
@@ -197,31 +201,6 @@
                 state
             )
 
-    def _collect_key_usage(self) -> messages.KeyUsage:
-        keys = {}
-        for name, group in self._groups.items():
-            if group.requested_keys:
-                keys[name] = tuple(group.requested_keys)
-                group.requested_keys.clear()
-        servers = {}
-        for state in self._servers.values():
-            is_leaving = state.leaving_since_s is not None
-            if (
-                state.served
-                or state.failed
-                or state.limit is not None
-                or is_leaving
-            ):
-                servers[state.server.name] = messages.ServerUsage(
-                    state.served,
-                    state.failed,
-                    state.service_ms,
-                    state.limit,
-                    state.server.born_ms if is_leaving else None,
-                )
-                state.served = state.failed = 0
-        return messages.KeyUsage(self._vm, keys, servers)
-
     # Requests
 
     def _place_or_queue(self, place_request: messages.PlaceRequest) -> None:
@@ -233,7 +212,7 @@
                 place_request, refusals.create(_Reason.NO_SERVER)
             )
             return
-        if not requirements.is_retry:
+        if not requirements.is_retry and not requirements.was_forwarded:
             group.budget.record_request(now_s)
             if group.settings.is_keyed and requirements.key is not None:
                 group.requested_keys.append(requirements.key)
@@ -284,7 +263,7 @@
     def _try_place_on_owner(
         self,
         place_request: messages.PlaceRequest,
-        group: _GroupState,
+        group: dispatch.GroupState,
         key: int,
         now_s: float,
     ) -> messages.NotPlaced | None:
@@ -302,21 +281,22 @@
         if state is None or not self._is_eligible(state):
             return refusals.create(_Reason.NO_OWNER)
         if not self._reachability.allows_request(state.server, now_s):
-            return messages.NotPlaced(
-                _Reason.UNREACHABLE, _UNREACHABLE_RETRY_AFTER_S
+            return self._forward_or_refuse(
+                place_request,
+                messages.OwnerUnreachable(state.server.instance),
+                now_s,
             )
         if not self._is_within_slow_start_rate(state, group.settings, now_s):
             return refusals.create(_Reason.COLD)
-        availability = decisions.check_statements(
-            state,
+        available = availability.select_available(
+            [state],
             place_request.requirements.queue_deadline_s,
             now_s,
-            leaving_use_s=_LEAVING_USE_SHARE * self._bounds.drain_s,
+            self._bounds.drain_s,
+            all_leaving=_Reason.NO_OWNER,
         )
-        if not isinstance(availability, decisions.Available):
-            return refusals.refuse_unavailable(
-                [availability], now_s, all_leaving=_Reason.NO_OWNER
-            )
+        if isinstance(available, messages.NotPlaced):
+            return available
         if decisions.is_full(state, now_s):
             return refusals.create(
                 _Reason.FULL, decisions.time_until_capacity_s(state, now_s)
@@ -326,15 +306,15 @@
     def _try_place_on_any_server(
         self,
         place_request: messages.PlaceRequest,
-        group: _GroupState,
+        group: dispatch.GroupState,
         now_s: float,
     ) -> messages.NotPlaced | None:
         requirements = place_request.requirements
         group_servers = self._servers_by_group.get(requirements.group, [])
         sampled = decisions.sample_servers(group_servers, self._rng)
-        eligible = [s for s in sampled if self._is_eligible(s)] or [
-            s for s in group_servers if self._is_eligible(s)
-        ]
+        if not any(self._is_usable(s, now_s) for s in sampled):
+            sampled = group_servers
+        eligible = [s for s in sampled if self._is_eligible(s)]
         if not eligible:
             return refusals.create(_Reason.NO_SERVER)
         within_rate = [
@@ -344,14 +324,34 @@
         ]
         if not within_rate:
             return refusals.create(_Reason.COLD)
-        available = self._select_available(within_rate, requirements, now_s)
+        available = availability.select_available(
+            within_rate,
+            requirements.queue_deadline_s,
+            now_s,
+            self._bounds.drain_s,
+            all_leaving=_Reason.NO_SERVER,
+        )
         if isinstance(available, messages.NotPlaced):
             return available
         reachable = [
             s
             for s in available
             if self._reachability.allows_request(s.server, now_s)
-        ] or available
+        ]
+        if (
+            not reachable
+            or requirements.unsent_attempts >= _MAX_UNSENT_ATTEMPTS
+        ):
+            refusal = self._forward_or_refuse(
+                place_request,
+                messages.GroupUnreachable(requirements.group),
+                now_s,
+            )
+            if refusal is None or (
+                requirements.was_forwarded and not reachable
+            ):
+                return refusal
+            reachable = reachable or available
         untried = [
             s
             for s in reachable
@@ -372,36 +372,35 @@
             return refusals.create(_Reason.FULL, capacity_wait_s)
         return self._assign_server(place_request, state, group, now_s)
 
-    def _select_available(
+    def _forward_or_refuse(
         self,
-        servers: Sequence[dispatch.ServerState],
-        requirements: messages.ServerRequirements,
+        place_request: messages.PlaceRequest,
+        cause: messages.ForwardCause,
         now_s: float,
-    ) -> list[dispatch.ServerState] | messages.NotPlaced:
-        """Returns the servers whose statements allow a request.
+    ) -> messages.NotPlaced | None:
+        """Assigns another gateway, or returns a refusal if there is none."""
+        unreachable_zones = self._reachability.unreachable_zones
+        is_isolated = not any(
+            state.server.availability_zone not in unreachable_zones
+            and self._reachability.allows_request(state.server, now_s)
+            for state in self._servers.values()
+        )
+        if self._forwarding.try_forward(
+            place_request,
+            cause,
+            frozenset() if is_isolated else unreachable_zones,
+            now_s,
+        ):
+            return None
+        return messages.NotPlaced(
+            _Reason.UNREACHABLE,
+            _UNREACHABLE_RETRY_AFTER_S,
+            is_isolated=is_isolated,
+        )
 
-        Leaving servers are used only if there are no others, and not for long.
-        """
-        availabilities: list[decisions.Availability] = []
-        for leaving_use_s in (0.0, _LEAVING_USE_SHARE * self._bounds.drain_s):
-            availabilities = [
-                decisions.check_statements(
-                    s,
-                    requirements.queue_deadline_s,
-                    now_s,
-                    leaving_use_s=leaving_use_s,
-                )
-                for s in servers
-            ]
-            available = [
-                s
-                for s, availability in zip(servers, availabilities, strict=True)
-                if isinstance(availability, decisions.Available)
-            ]
-            if available:
-                return available
-        return refusals.refuse_unavailable(
-            availabilities, now_s, all_leaving=_Reason.NO_SERVER
+    def _is_usable(self, state: dispatch.ServerState, now_s: float) -> bool:
+        return self._is_eligible(state) and self._reachability.allows_request(
+            state.server, now_s
         )
 
     def _is_eligible(self, state: dispatch.ServerState) -> bool:
@@ -431,7 +430,7 @@
         self,
         place_request: messages.PlaceRequest,
         state: dispatch.ServerState,
-        group: _GroupState,
+        group: dispatch.GroupState,
         now_s: float,
     ) -> messages.NotPlaced | None:
         """Assigns a server, or returns why the retry budget forbids it."""
@@ -525,25 +524,20 @@
         if state.server.is_draining or state.leaving_since_s is not None:
             connection.close()
             return
+        group = self._groups.get(state.server.group)
         state.pool.release(
             connection,
             now_s,
             keep_alive_timeout_s,
-            self._max_idle_connections(state.server),
-        )
-
-    def _max_idle_connections(self, server: models.BackendServer) -> int:
-        group = self._groups.get(server.group)
-        if group is None:
-            return 1
-        shared_connections = (
-            _CONNECTION_LIMIT_SHARE * group.settings.max_connections
+            connection_pool.max_idle_connections(
+                group.settings if group else None, len(self._vms)
+            ),
         )
-        return max(1, int(shared_connections / max(1, len(self._vms))))
 
     def _close_connections(self) -> None:
         for state in self._servers.values():
             state.pool.close()
+        self._forwarding.close()
 
     def _now_s(self) -> float:
         return asyncio.get_running_loop().time()
--- a/berylweir/gateway/exchange/handler.py
+++ b/berylweir/gateway/exchange/handler.py
@@ -1,20 +1,21 @@
 """Handles requests: matches the route, sends attempts and answers."""
 
 import asyncio
-import dataclasses
 import logging
 import typing
 
 from berylweir.gateway import messages
 from berylweir.gateway import models
 from berylweir.gateway.dispatch import task as dispatch
+from berylweir.gateway.exchange import answers
 from berylweir.gateway.exchange import attempt
 from berylweir.gateway.exchange import models as exchange
 from berylweir.gateway.exchange import outcomes
+from berylweir.gateway.forwarding import client as forwarding
+from berylweir.gateway.forwarding import outcomes as forwarded
 from berylweir.gateway.permits import task as permits
 from berylweir.gateway.routing import decisions as routing
 from berylweir.observability import counters
-from berylweir.platform import requests
 
 _LOGGER = logging.getLogger(__name__)
 # Longest wait of a request for a server with capacity, as a share of the
@@ -25,27 +26,6 @@
 _MIN_OWNER_WAIT_S = 0.8
 # Attempts without a usable connection after which a request is refused.
 _MAX_UNSENT_ATTEMPTS = 3
-# Retry-After if the dispatcher gave none, in seconds.
-_RETRY_AFTER_S = 0.5
-
-
-@dataclasses.dataclass(slots=True)
-class _RequestState:
-    """Attempts of one request so far.
-
-    Attributes:
-        sent_attempts: Attempts in which the request was sent.
-        unsent_attempts: Attempts without a usable connection.
-        may_have_run: Whether a server may have run the request.
-        tried_instances: Server instances that were tried.
-        rejecting_instance: The last one that said that it doesn't own the key.
-    """
-
-    sent_attempts: int = 0
-    unsent_attempts: int = 0
-    may_have_run: bool = False
-    tried_instances: frozenset[models.ServerInstance] = frozenset()
-    rejecting_instance: models.ServerInstance | None = None
 
 
 class RequestHandler:
@@ -53,6 +33,7 @@
 
     def __init__(
         self,
+        vm: str,
         inbox: dispatch.Inbox,
         permits_inbox: permits.Inbox,
         metrics: counters.Counters,
@@ -60,13 +41,16 @@
         """Creates a handler without a configuration; it refuses all requests.
 
         Args:
+            vm: Name of this VM.
             inbox: Mailbox of the dispatcher.
             permits_inbox: Mailbox of the task that gives permits.
             metrics: Counters.
         """
+        self._vm = vm
         self._inbox = inbox
         self._permits_inbox = permits_inbox
         self._metrics = metrics
+        self._answers = answers.AnswerBuilder(metrics)
         self._route_table: routing.RouteTable | None = None
         self._traffic_splitter = routing.TrafficSplitter()
 
@@ -75,72 +59,124 @@
         """Routes of the current configuration; None until one was read."""
         return self._route_table
 
-    def configure(self, configuration: models.Configuration) -> None:
+    def on_store_update(self, message: messages.StoreUpdate) -> None:
         """Uses a newer configuration for all further requests."""
-        self._route_table = routing.RouteTable(configuration)
+        match message:
+            case messages.ConfigurationChanged(configuration):
+                self._route_table = routing.RouteTable(configuration)
+                self._answers.configure(configuration.version)
+                _LOGGER.info(
+                    "configuration in force",
+                    extra={
+                        "configuration": configuration.version,
+                        "revision": configuration.revision,
+                        "routes": len(configuration.routes),
+                    },
+                )
+            case _:
+                pass
 
     async def handle(self, request: exchange.CallerRequest) -> exchange.Answer:
         """Returns the answer to a request.
 
         The call is cancelled when the caller disconnects.
         """
-        head = request.head
         if self._route_table is None:
-            return self._refuse(request, None, "no configuration")
-        route = self._route_table.match(head.host, head.path)
+            return self._answers.answer_unconfigured(request)
+        route = self._route_table.match(request.head.host, request.head.path)
         if route is None:
-            return self._build_answer(
-                request, None, 404, "no route matches", None
-            )
+            return self._answers.answer_no_route(request)
+        group, state, timeout_ms = self._prepare(request, route)
+        deadline_s = request.head_received_s + timeout_ms / 1000.0
         loop = asyncio.get_running_loop()
-        effective_timeout_ms = min(
-            head.deadline_ms or route.timeout_ms, route.timeout_ms
-        )
-        deadline_s = request.head_received_s + effective_timeout_ms / 1000.0
-        group = self._traffic_splitter.choose_group(route)
-        state = _RequestState()
         while True:
             requirements = self._build_requirements(
                 request, route, group, state, deadline_s
             )
             if deadline_s <= loop.time():
-                return self._answer_timeout(request, route, state)
-            reply = loop.create_future()
+                return self._answers.answer_timeout(request, route, state)
+            reply: asyncio.Future[messages.PlacementReply] = (
+                loop.create_future()
+            )
             self._inbox.post(messages.PlaceRequest(requirements, reply))
             try:
                 placement = await reply
             finally:
                 self._release_abandoned(reply, requirements)
             match placement:
-                case messages.NotPlaced(reason, retry_after_s):
-                    if state.may_have_run:
-                        return self._fail(
-                            request, route, outcomes.BAD_GATEWAY, reason.value
-                        )
-                    return self._refuse(
-                        request, route, reason.value, retry_after_s
+                case messages.NotPlaced():
+                    return self._answers.answer_not_placed(
+                        request, route, state, placement
+                    )
+                case messages.Forward():
+                    step = await self._forward(
+                        request, route, requirements, placement, state
                     )
+                    served_by = placement.vm.name
                 case messages.Placement():
-                    pass
-            if not await self._acquire_permit(requirements, placement):
-                continue
-            step = await self._run_attempt(
-                request, route, requirements, placement, state
-            )
-            match step:
-                case outcomes.Return(answer):
-                    self._record_answer(
-                        request, route, answer.status, "served", placement
+                    if not await self._acquire_permit(requirements, placement):
+                        continue
+                    step = await self._run_attempt(
+                        request, route, requirements, placement, state
                     )
-                    return answer
-                case outcomes.Refuse():
-                    return self._refuse(request, route, "not run")
-                case outcomes.Fail(status):
-                    return self._fail(request, route, status, "no response")
-                case outcomes.TryAgain():
-                    self._metrics.count("gateway.tried_again")
+                    served_by = placement.server.name
                 case _:
-                    typing.assert_never(step)
+                    typing.assert_never(placement)
+            answer = self._take_step(request, route, step, served_by)
+            if answer is not None:
+                return answer
+
+    def _prepare(
+        self, request: exchange.CallerRequest, route: models.Route
+    ) -> tuple[str, exchange.RequestState, float]:
+        """Returns the server group, the state and the timeout in ms."""
+        timeout_ms = min(
+            request.head.deadline_ms or route.timeout_ms, route.timeout_ms
+        )
+        match request.origin:
+            case exchange.FromCaller():
+                group = self._traffic_splitter.choose_group(route)
+                return group, exchange.RequestState(), timeout_ms
+            case exchange.FromGateway() as origin:
+                group = (
+                    origin.group
+                    if any(s.group == origin.group for s in route.shares)
+                    else self._traffic_splitter.choose_group(route)
+                )
+                state = exchange.RequestState(
+                    origin.sent_attempts, may_have_run=origin.may_have_run
+                )
+                return group, state, min(timeout_ms, origin.timeout_ms)
+            case _:
+                typing.assert_never(request.origin)
+
+    def _take_step(
+        self,
+        request: exchange.CallerRequest,
+        route: models.Route,
+        step: outcomes.Step,
+        served_by: str,
+    ) -> exchange.Answer | None:
+        """Returns the answer; None if the request is to be tried again."""
+        match step:
+            case outcomes.Return(answer):
+                self._answers.record(
+                    request, route, answer.status, "served", served_by
+                )
+                return answer
+            case outcomes.Refuse(retry_after_s):
+                return self._answers.refuse(
+                    request, route, "not run", retry_after_s
+                )
+            case outcomes.RefuseUnreachable():
+                return self._answers.refuse_unreachable(request, route)
+            case outcomes.Fail(status):
+                return self._answers.fail(request, route, status, "no response")
+            case outcomes.TryAgain():
+                self._metrics.count("gateway.tried_again")
+                return None
+            case _:
+                typing.assert_never(step)
 
     async def _run_attempt(
         self,
@@ -148,7 +184,7 @@
         route: models.Route,
         requirements: messages.ServerRequirements,
         placement: messages.Placement,
-        state: _RequestState,
+        state: exchange.RequestState,
     ) -> outcomes.Step:
         outcome = await attempt.Attempt(
             self._inbox, requirements, placement
@@ -157,6 +193,8 @@
         match outcome:
             case outcomes.NotSent():
                 state.unsent_attempts += 1
+                if state.may_go_to_third_gateway(request.origin):
+                    return outcomes.RefuseUnreachable()
                 if state.unsent_attempts >= _MAX_UNSENT_ATTEMPTS:
                     return (
                         outcomes.Fail(outcomes.BAD_GATEWAY)
@@ -186,7 +224,50 @@
                 "outcome": type(outcome).__name__,
                 "step": type(step).__name__,
                 "sends": state.sent_attempts,
-                "elapsed_ms": self._elapsed_ms(request),
+                "elapsed_ms": request.elapsed_ms(_now_s()),
+            },
+        )
+        return step
+
+    async def _forward(
+        self,
+        request: exchange.CallerRequest,
+        route: models.Route,
+        requirements: messages.ServerRequirements,
+        forward: messages.Forward,
+        state: exchange.RequestState,
+    ) -> outcomes.Step:
+        """Runs the request through another gateway."""
+        remaining_s = requirements.deadline_s - _now_s()
+        origin = exchange.FromGateway(
+            self._vm,
+            requirements.group,
+            state.sent_attempts,
+            state.may_have_run,
+            remaining_s * 1000.0,
+        )
+        outcome = await forwarding.ForwardAttempt(
+            self._inbox, forward, requirements.deadline_s
+        ).run(request, origin)
+        state.tried_vms |= {forward.vm.name}
+        if forwarded.may_have_run(outcome):
+            state.sent_attempts += 1
+            state.may_have_run = True
+        step = forwarded.next_step(
+            outcome,
+            route.idempotency,
+            remaining_attempts=route.max_servers - state.sent_attempts,
+            may_have_run=state.may_have_run,
+        )
+        _LOGGER.info(
+            "forwarded",
+            extra={
+                "request": request.head.request_id,
+                "vm": forward.vm.name,
+                "cause": type(forward.cause).__name__,
+                "outcome": type(outcome).__name__,
+                "step": type(step).__name__,
+                "elapsed_ms": request.elapsed_ms(_now_s()),
             },
         )
         return step
@@ -196,10 +277,10 @@
         request: exchange.CallerRequest,
         route: models.Route,
         group: str,
-        state: _RequestState,
+        state: exchange.RequestState,
         deadline_s: float,
     ) -> messages.ServerRequirements:
-        now_s = asyncio.get_running_loop().time()
+        now_s = _now_s()
         key = request.head.key
         queue_wait_s = _MAX_QUEUE_WAIT_GOAL_SHARE * route.goal_ms / 1000.0
         return messages.ServerRequirements(
@@ -211,6 +292,9 @@
             goal_ms=route.goal_ms,
             is_download=route.is_download,
             is_retry=state.sent_attempts > 0,
+            unsent_attempts=state.unsent_attempts,
+            may_forward=request.origin == exchange.FromCaller(),
+            tried_vms=state.tried_vms,
             tried_instances=state.tried_instances,
             rejecting_instance=state.rejecting_instance,
             queue_deadline_s=min(deadline_s, now_s + queue_wait_s),
@@ -263,10 +347,10 @@
 
     def _release_abandoned(
         self,
-        reply: "asyncio.Future[messages.Placement | messages.NotPlaced]",
+        reply: "asyncio.Future[messages.PlacementReply]",
         requirements: messages.ServerRequirements,
     ) -> None:
-        """Releases a server that was assigned after the caller disconnected."""
+        """Releases what was assigned after the caller disconnected."""
         if not reply.done():
             reply.cancel()
             return
@@ -274,104 +358,32 @@
         if reply.cancelled() or task is None or not task.cancelling():
             return
         placement = reply.result()
-        if isinstance(placement, messages.Placement):
-            self._inbox.post(
-                messages.AttemptFinished(
-                    placement,
-                    requirements,
-                    messages.AttemptResult.ABANDONED,
-                    placement.connection,
-                    models.ServerStatements(),
-                    None,
-                    0.0,
+        match placement:
+            case messages.Placement():
+                self._inbox.post(
+                    messages.AttemptFinished(
+                        placement,
+                        requirements,
+                        messages.AttemptResult.ABANDONED,
+                        placement.connection,
+                        models.ServerStatements(),
+                        None,
+                        0.0,
+                    )
                 )
-            )
-
-    # Answers that the gateway generates itself
-
-    def _answer_timeout(
-        self,
-        request: exchange.CallerRequest,
-        route: models.Route,
-        state: _RequestState,
-    ) -> exchange.Answer:
-        if state.may_have_run:
-            return self._fail(
-                request, route, outcomes.GATEWAY_TIMEOUT, "out of time"
-            )
-        return self._refuse(request, route, "out of time")
-
-    def _refuse(
-        self,
-        request: exchange.CallerRequest,
-        route: models.Route | None,
-        reason: str,
-        retry_after_s: float = _RETRY_AFTER_S,
-    ) -> exchange.Answer:
-        """Answers 503: no server has run the request or will run it later."""
-        return self._build_answer(request, route, 503, reason, retry_after_s)
-
-    def _fail(
-        self,
-        request: exchange.CallerRequest,
-        route: models.Route,
-        status: int,
-        reason: str,
-    ) -> exchange.Answer:
-        """Answers that a server may have run the request."""
-        return self._build_answer(request, route, status, reason, None)
-
-    def _build_answer(
-        self,
-        request: exchange.CallerRequest,
-        route: models.Route | None,
-        status: int,
-        reason: str,
-        retry_after_s: float | None,
-    ) -> exchange.Answer:
-        self._record_answer(request, route, status, reason, None)
-        body = b'{"status":%d,"title":"%b"}' % (status, reason.encode())
-        return exchange.Answer(
-            status,
-            requests.encode_error_headers(
-                request.head.request_id, retry_after_s
-            ),
-            body,
-            None,
-            len(body),
-        )
+            case messages.Forward():
+                self._inbox.post(
+                    messages.ForwardFinished(
+                        placement,
+                        messages.ForwardResult.ABANDONED,
+                        placement.connection,
+                    )
+                )
+            case messages.NotPlaced():
+                pass
+            case _:
+                typing.assert_never(placement)
 
-    def _record_answer(
-        self,
-        request: exchange.CallerRequest,
-        route: models.Route | None,
-        status: int,
-        reason: str,
-        placement: messages.Placement | None,
-    ) -> None:
-        elapsed_ms = self._elapsed_ms(request)
-        self._metrics.count(f"gateway.answered.{status}")
-        self._metrics.observe("gateway.latency_ms", elapsed_ms)
-        level = logging.INFO if placement is not None else logging.WARNING
-        _LOGGER.log(
-            level,
-            "answered",
-            extra={
-                "request": request.head.request_id,
-                "route": route.name if route else None,
-                "configuration": (
-                    self._route_table.configuration.version
-                    if self._route_table
-                    else None
-                ),
-                "key": request.head.key,
-                "status": status,
-                "reason": reason,
-                "server": placement.server.name if placement else None,
-                "elapsed_ms": elapsed_ms,
-            },
-        )
 
-    def _elapsed_ms(self, request: exchange.CallerRequest) -> float:
-        now_s = asyncio.get_running_loop().time()
-        return round((now_s - request.head_received_s) * 1000.0, 1)
+def _now_s() -> float:
+    return asyncio.get_running_loop().time()
--- a/berylweir/gateway/exchange/models.py
+++ b/berylweir/gateway/exchange/models.py
@@ -1,11 +1,42 @@
 """A caller's request and its answer."""
 
 from collections.abc import AsyncIterator
+import dataclasses
+import enum
+import typing
 
 from berylweir import records
+from berylweir.gateway import models
 from berylweir.platform import requests
 
 
+@records.record
+class FromCaller:
+    """The request was received from a caller."""
+
+
+@records.record
+class FromGateway:
+    """The request was forwarded by another gateway.
+
+    Attributes:
+        vm: Name of that gateway's VM.
+        group: Server group that it chose.
+        sent_attempts: Attempts in which the request was sent to a server.
+        may_have_run: Whether a server may have run it.
+        timeout_ms: Time within which that gateway needs an answer, in ms.
+    """
+
+    vm: str
+    group: str
+    sent_attempts: int
+    may_have_run: bool
+    timeout_ms: float
+
+
+Origin = FromCaller | FromGateway
+
+
 @records.record
 class CallerRequest:
     """A caller's request with its complete body.
@@ -15,11 +46,36 @@
         body: The body.
         head_received_s: When the head was complete, on the loop's clock, in
             seconds.
+        origin: From whom this gateway received it.
     """
 
     head: requests.RequestHead
     body: bytes
     head_received_s: float
+    origin: Origin = FromCaller()
+
+    def elapsed_ms(self, now_s: float) -> float:
+        """Returns the time since the head was complete, in ms.
+
+        Args:
+            now_s: Time on the loop's clock, in seconds.
+        """
+        return round((now_s - self.head_received_s) * 1000.0, 1)
+
+
+class AnswerKind(enum.Enum):
+    """What an answer says of the request."""
+
+    # It is the response of a server.
+    SERVED = "served"
+    # No server has run the request or will run it later.
+    REFUSED = "refused"
+    # The same, because this VM can't reach the server.
+    UNREACHABLE = "unreachable"
+    # The same, because this VM can't use any server.
+    ISOLATED = "isolated"
+    # A server may have run the request.
+    FAILED = "failed"
 
 
 @records.record
@@ -34,6 +90,7 @@
             it; raises `ResponseTruncatedError` if the server doesn't send all
             of it.
         content_length: Length of the whole body, in bytes; None if unknown.
+        kind: What it says of the request.
     """
 
     status: int
@@ -41,3 +98,40 @@
     body: bytes
     remaining_body: AsyncIterator[bytes] | None = None
     content_length: int | None = None
+    kind: AnswerKind = AnswerKind.SERVED
+
+
+@dataclasses.dataclass(slots=True)
+class RequestState:
+    """Attempts of one request so far.
+
+    Attributes:
+        sent_attempts: Attempts in which the request was sent, also those of the
+            gateway that forwarded it.
+        unsent_attempts: Attempts without a usable connection.
+        may_have_run: Whether a server may have run the request.
+        tried_instances: Server instances that were tried.
+        rejecting_instance: The last one that said that it doesn't own the key.
+        tried_vms: Names of the VMs to which it was forwarded.
+    """
+
+    sent_attempts: int = 0
+    unsent_attempts: int = 0
+    may_have_run: bool = False
+    tried_instances: frozenset[models.ServerInstance] = frozenset()
+    rejecting_instance: models.ServerInstance | None = None
+    tried_vms: frozenset[str] = frozenset()
+
+    def may_go_to_third_gateway(self, origin: Origin) -> bool:
+        """Returns whether another gateway may forward the request again.
+
+        Args:
+            origin: From whom this gateway received it.
+        """
+        match origin:
+            case FromCaller():
+                return False
+            case FromGateway(sent_attempts=sent_attempts):
+                return self.sent_attempts == sent_attempts
+            case _:
+                typing.assert_never(origin)
--- a/berylweir/gateway/exchange/outcomes.py
+++ b/berylweir/gateway/exchange/outcomes.py
@@ -74,7 +74,14 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Refuse:
-    """Answer that no server has run the request or will run it later."""
+    """Answer that no server has run the request or will run it later.
+
+    Attributes:
+        retry_after_s: Time after which the caller may retry, in seconds; None
+            for the default.
+    """
+
+    retry_after_s: float | None = None
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -88,7 +95,12 @@
     status: int
 
 
-Step = TryAgain | Return | Refuse | Fail
+@dataclasses.dataclass(frozen=True, slots=True)
+class RefuseUnreachable:
+    """Answer another gateway that no server can be reached from here."""
+
+
+Step = TryAgain | Return | Refuse | RefuseUnreachable | Fail
 
 BAD_GATEWAY = 502
 GATEWAY_TIMEOUT = 504
--- /dev/null
+++ b/berylweir/gateway/forwarding/__init__.py
@@ -0,0 +1,1 @@
+"""Passes requests on through other gateways that reach the servers."""
--- a/berylweir/gateway/ingress/protocol.py
+++ b/berylweir/gateway/ingress/protocol.py
@@ -4,15 +4,18 @@
 import collections
 from collections.abc import Awaitable
 from collections.abc import Callable
+from collections.abc import Sequence
 import http
 import logging
 import typing
 
 import httptools
+import result
 
 from berylweir.gateway import models
 from berylweir.gateway.exchange import exceptions
 from berylweir.gateway.exchange import models as exchange
+from berylweir.gateway.forwarding import codec
 from berylweir.gateway.ingress import models as ingress
 from berylweir.observability import counters
 from berylweir.platform import requests
@@ -32,6 +35,7 @@
 _STATUSES_WITHOUT_BODY = frozenset({204, 304})
 
 HandleRequest = Callable[[exchange.CallerRequest], Awaitable[exchange.Answer]]
+DecodeHead = Callable[[str, bytes, Sequence[requests.Header]], codec.Decoded]
 
 
 class CallerConnection(asyncio.Protocol):
@@ -48,6 +52,7 @@
         limits: models.CallerLimits,
         connections: "set[CallerConnection]",
         metrics: counters.Counters,
+        decode_head: DecodeHead = codec.decode_caller_request,
     ) -> None:
         """Creates the protocol of a connection that isn't open yet.
 
@@ -58,7 +63,9 @@
             limits: Limits on what a caller may send.
             connections: All open connections of the listener.
             metrics: Counters.
+            decode_head: Decodes the head of a request and its origin.
         """
+        self._decode_head = decode_head
         self._handle_request = handle_request
         self._is_idempotent = is_idempotent
         self._limits = limits
@@ -79,6 +86,7 @@
         self._body_chunks: list[bytes] = []
         self._body_bytes = 0
         self._head: requests.RequestHead | None = None
+        self._origin: exchange.Origin = exchange.FromCaller()
         self._head_received_s = 0.0
         self._received_head_bytes = 0
         self._last_progress_s: float | None = None
@@ -170,11 +178,18 @@
         self._received_head_bytes = 0
         self._head_received_s = self._loop.time()
         self._last_progress_s = self._head_received_s
-        self._head = requests.decode_request(
+        decoded = self._decode_head(
             self._parser.get_method().decode("latin-1"),
             self._url,
             self._headers,
         )
+        match decoded:
+            case result.Ok((head, origin)):
+                self._head = head
+                self._origin = origin
+            case result.Err(failure):
+                self._reject(ingress.Violation(400, failure.reason))
+                return
         header_bytes = len(self._url) + sum(
             len(n) + len(v) for n, v in self._headers
         )
@@ -208,7 +223,10 @@
         is_idempotent = self._is_idempotent(head)
         pending = ingress.PendingRequest(
             exchange.CallerRequest(
-                head, b"".join(self._body_chunks), self._head_received_s
+                head,
+                b"".join(self._body_chunks),
+                self._head_received_s,
+                self._origin,
             ),
             self._parser.should_keep_alive(),
             is_idempotent,
--- a/berylweir/gateway/ingress/task.py
+++ b/berylweir/gateway/ingress/task.py
@@ -1,15 +1,15 @@
 """The task that accepts connections of callers."""
 
 import asyncio
+import dataclasses
 import logging
 
-from berylweir.gateway import messages
 from berylweir.gateway import models
 from berylweir.gateway.exchange import handler
+from berylweir.gateway.forwarding import codec
 from berylweir.gateway.ingress import protocol
 from berylweir.observability import counters
 from berylweir.platform import requests
-from berylweir.supervision import mailbox
 from berylweir.supervision import models as supervision
 
 _LOGGER = logging.getLogger(__name__)
@@ -23,56 +23,90 @@
 _IDLE_CLOSE_INTERVAL_S = 0.1
 # Time reserved at the end of the grace period before SIGKILL, in seconds.
 _SHUTDOWN_MARGIN_S = 0.6
+# Largest size of the headers that another gateway adds, in bytes.
+_MAX_OWN_HEADER_BYTES = 1024
 
-Inbox = mailbox.Mailbox[messages.StoreUpdate]
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Listener:
+    """What an ingress listens for.
 
-def create_inbox() -> Inbox:
-    """Returns the mailbox of the ingress."""
-    return mailbox.Mailbox("ingress", 1000)
+    Attributes:
+        name: Name for the log and the counters.
+        address: Host and port.
+        decode_head: Decodes the head of a request and its origin.
+        own_header_bytes: Size of headers that a gateway has added, in bytes.
+    """
+
+    name: str
+    address: tuple[str, int]
+    decode_head: protocol.DecodeHead
+    own_header_bytes: int = 0
+
+
+def caller_listener(environment: models.Environment) -> Listener:
+    """Returns the listener for callers."""
+    return Listener(
+        "connection", environment.caller_address, codec.decode_caller_request
+    )
+
+
+def gateway_listener(environment: models.Environment) -> Listener:
+    """Returns the listener for requests that other gateways forward."""
+    return Listener(
+        "forward_connection",
+        (environment.host, environment.forward_port),
+        codec.decode_forwarded_request,
+        _MAX_OWN_HEADER_BYTES,
+    )
 
 
 class Ingress:
-    """Owns the listening socket and the connections of callers.
+    """Owns a listening socket and the connections that it accepts.
 
     On shutdown it drains the connections without interrupting requests.
     """
 
     def __init__(
         self,
-        environment: models.Environment,
+        listener: Listener,
+        bounds: models.Bounds,
         request_handler: handler.RequestHandler,
-        inbox: Inbox,
+        handle_request: protocol.HandleRequest,
+        draining: asyncio.Event,
         metrics: counters.Counters,
     ) -> None:
         """Creates the ingress.
 
         Args:
-            environment: Settings that the platform passed.
-            request_handler: Handles each request.
-            inbox: Mailbox that receives configurations.
+            listener: What it listens for.
+            bounds: Limits that the platform sets.
+            request_handler: Has the current configuration.
+            handle_request: Returns the answer to a request.
+            draining: Shared by all ingresses of the gateway. The first one
+                that is stopped sets it, so that all drain at the same time.
             metrics: Counters.
         """
-        self._environment = environment
+        self._listener = listener
+        self._bounds = bounds
         self._request_handler = request_handler
-        self._inbox = inbox
+        self._handle_request = handle_request
+        self._draining = draining
         self._metrics = metrics
         self._connections: set[protocol.CallerConnection] = set()
-        self._limits = models.CallerLimits()
-        self._is_draining = False
 
     @property
     def is_ready(self) -> bool:
         """Whether the load balancer should send new connections here."""
         return (
             self._request_handler.route_table is not None
-            and not self._is_draining
+            and not self._draining.is_set()
         )
 
     async def run(self, context: supervision.ChildContext) -> None:
-        """Serves callers until the supervisor stops the child, then drains."""
+        """Serves requests until an ingress is stopped, then drains."""
         loop = asyncio.get_running_loop()
-        host, port = self._environment.caller_address
+        host, port = self._listener.address
         server = await loop.create_server(
             self._accept,
             host,
@@ -81,24 +115,31 @@
             reuse_address=True,
         )
         context.stack.callback(server.close)
-        configuration_task = loop.create_task(self._apply_configurations())
         timeout_task = loop.create_task(self._check_timeouts())
-        context.stack.callback(configuration_task.cancel)
         context.stack.callback(timeout_task.cancel)
+        stop_task = loop.create_task(self._drain_when_stopped(context))
+        context.stack.callback(stop_task.cancel)
         context.report_ready()
-        await context.stop_event.wait()
+        await self._draining.wait()
         await self._drain(server)
 
+    async def _drain_when_stopped(
+        self, context: supervision.ChildContext
+    ) -> None:
+        await context.stop_event.wait()
+        self._draining.set()
+
     def _accept(self) -> protocol.CallerConnection:
-        self._metrics.count("gateway.connection")
+        self._metrics.count(f"gateway.{self._listener.name}")
         connection = protocol.CallerConnection(
-            self._request_handler.handle,
+            self._handle_request,
             self._is_idempotent,
-            self._limits,
+            self._get_limits(),
             self._connections,
             self._metrics,
+            self._listener.decode_head,
         )
-        if self._is_draining:
+        if self._draining.is_set():
             connection.announce_close()
         return connection
 
@@ -110,22 +151,18 @@
             and route.idempotency is models.Idempotency.IDEMPOTENT
         )
 
-    async def _apply_configurations(self) -> None:
-        while True:
-            match await self._inbox.get():
-                case messages.ConfigurationChanged(configuration):
-                    self._request_handler.configure(configuration)
-                    self._limits = configuration.limits
-                    _LOGGER.info(
-                        "configuration in force",
-                        extra={
-                            "configuration": configuration.version,
-                            "revision": configuration.revision,
-                            "routes": len(configuration.routes),
-                        },
-                    )
-                case _:
-                    pass
+    def _get_limits(self) -> models.CallerLimits:
+        route_table = self._request_handler.route_table
+        limits = (
+            route_table.configuration.limits
+            if route_table
+            else models.CallerLimits()
+        )
+        return dataclasses.replace(
+            limits,
+            max_header_bytes=limits.max_header_bytes
+            + self._listener.own_header_bytes,
+        )
 
     async def _check_timeouts(self) -> None:
         loop = asyncio.get_running_loop()
@@ -141,11 +178,8 @@
         failed twice; these are served too.
         """
         loop = asyncio.get_running_loop()
-        self._is_draining = True
         started_s = loop.time()
-        deadline_s = (
-            started_s + self._environment.bounds.grace_s - _SHUTDOWN_MARGIN_S
-        )
+        deadline_s = started_s + self._bounds.grace_s - _SHUTDOWN_MARGIN_S
         for connection in tuple(self._connections):
             connection.announce_close()
         await asyncio.sleep(min(_BALANCER_REMOVAL_S, deadline_s - started_s))
@@ -158,5 +192,9 @@
                 connection.close_if_idle()
             await asyncio.sleep(_IDLE_CLOSE_INTERVAL_S)
         _LOGGER.info(
-            "ingress closed", extra={"connections": len(self._connections)}
+            "ingress closed",
+            extra={
+                "listener": self._listener.name,
+                "connections": len(self._connections),
+            },
         )
--- a/berylweir/gateway/messages.py
+++ b/berylweir/gateway/messages.py
@@ -108,6 +108,10 @@
         queue_deadline_s: Until when to wait for a server with free capacity.
         owner_wait_deadline_s: Until when to wait for an owner of the key.
         deadline_s: When the whole request times out.
+        unsent_attempts: Attempts without a usable connection.
+        may_forward: Whether another gateway may get the request; False if
+            this gateway received it from another one.
+        tried_vms: Names of the VMs to which it was forwarded.
     """
 
     request_id: str
@@ -123,6 +127,14 @@
     queue_deadline_s: float
     owner_wait_deadline_s: float
     deadline_s: float
+    unsent_attempts: int = 0
+    may_forward: bool = True
+    tried_vms: frozenset[str] = frozenset()
+
+    @property
+    def was_forwarded(self) -> bool:
+        """Whether it came from another gateway, or was forwarded to one."""
+        return not self.may_forward or bool(self.tried_vms)
 
 
 @records.record
@@ -146,6 +158,46 @@
     limit: float | None = None
 
 
+@records.record
+class OwnerUnreachable:
+    """This VM can't reach the owner of a key.
+
+    Attributes:
+        owner: The owner.
+    """
+
+    owner: models.ServerInstance
+
+
+@records.record
+class GroupUnreachable:
+    """This VM can't reach any available server of a group.
+
+    Attributes:
+        group: Name of the server group.
+    """
+
+    group: str
+
+
+ForwardCause = OwnerUnreachable | GroupUnreachable
+
+
+@records.record
+class Forward:
+    """Another gateway that was chosen to get a request.
+
+    Attributes:
+        vm: Its VM.
+        connection: Open connection to use; None to open one.
+        cause: Why this VM doesn't send the request to a server.
+    """
+
+    vm: models.Vm
+    connection: http.Connection | None
+    cause: ForwardCause
+
+
 class RefusalReason(enum.Enum):
     """Why no server was chosen."""
 
@@ -168,11 +220,16 @@
         retry_after_s: Time after which the caller may retry, in seconds.
         capacity_wait_s: Estimated time until a full server has capacity
             again, in seconds.
+        is_isolated: Whether this VM can't reach any server.
     """
 
     reason: RefusalReason
     retry_after_s: float
     capacity_wait_s: float = 0.0
+    is_isolated: bool = False
+
+
+PlacementReply = Placement | Forward | NotPlaced
 
 
 @records.record
@@ -185,7 +242,7 @@
     """
 
     requirements: ServerRequirements
-    reply: "asyncio.Future[Placement | NotPlaced]"
+    reply: "asyncio.Future[PlacementReply]"
 
 
 class AttemptResult(enum.Enum):
@@ -236,6 +293,40 @@
     elapsed_s: float
 
 
+class ForwardResult(enum.Enum):
+    """What forwarding a request showed of the other gateway."""
+
+    # It answered, and a server can be reached from there.
+    ANSWERED = "answered"
+    # It answered that it can't reach the server either.
+    UNREACHABLE = "unreachable"
+    # It answered that it can't use any server.
+    ISOLATED = "isolated"
+    # No connection could be opened.
+    NOT_CONNECTED = "not_connected"
+    # The request was sent, but no complete answer was received.
+    UNKNOWN = "unknown"
+    # The caller disconnected, or the deadline passed.
+    ABANDONED = "abandoned"
+
+
+@records.record
+class ForwardFinished:
+    """Reports the end of a forwarded request to the dispatcher.
+
+    Attributes:
+        forward: The gateway that got it.
+        result: What that showed.
+        connection: Connection that can be reused, if any.
+        is_draining: Whether the other gateway closes its connections.
+    """
+
+    forward: Forward
+    result: ForwardResult
+    connection: http.Connection | None
+    is_draining: bool = False
+
+
 @records.record
 class PlacementReturned:
     """Returns a placement to the dispatcher; the request wasn't sent.
@@ -370,5 +461,6 @@
     | PlaceRequest
     | PlacementReturned
     | AttemptFinished
+    | ForwardFinished
     | CollectKeyUsage
 )
--- a/berylweir/gateway/models.py
+++ b/berylweir/gateway/models.py
@@ -242,6 +242,8 @@
         registered_revision: Revision of the store at which it registered; 0 if
             it hasn't.
         size: Capacity of the VM.
+        forward_port: TCP port for requests that other gateways forward; 0 if
+            it takes none.
     """
 
     name: str
@@ -251,6 +253,7 @@
     availability_zone: str
     registered_revision: int = 0
     size: VmSize = VmSize()
+    forward_port: int = 0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -420,6 +423,8 @@
         store_address: Host and port of the store.
         bounds: Limits for all gateways together.
         size: Capacity of the VM.
+        forward_port: TCP port for requests that other gateways forward; 0 to
+            take none.
     """
 
     vm: str
@@ -431,3 +436,4 @@
     store_address: tuple[str, int]
     bounds: Bounds
     size: VmSize = VmSize()
+    forward_port: int = 0
--- a/berylweir/gateway/supervisor.py
+++ b/berylweir/gateway/supervisor.py
@@ -1,5 +1,6 @@
 """The supervisor tree of a gateway."""
 
+import asyncio
 from collections.abc import Callable
 import http
 import uuid
@@ -9,6 +10,7 @@
 from berylweir.gateway import store_cache
 from berylweir.gateway.dispatch import task as dispatch
 from berylweir.gateway.exchange import handler
+from berylweir.gateway.forwarding import server as forwarding
 from berylweir.gateway.ingress import probes
 from berylweir.gateway.ingress import task as ingress
 from berylweir.gateway.ownership import task as ownership
@@ -70,6 +72,7 @@
         environment.peer_port,
         environment.availability_zone,
         size=environment.size,
+        forward_port=environment.forward_port,
     )
 
     generation = store_generation.StoreGeneration()
@@ -79,17 +82,19 @@
 
     dispatch_inbox = dispatch.create_inbox()
     keeper_inbox = ownership.create_inbox()
-    ingress_inbox = ingress.create_inbox()
     peer_client = peers.PeerClient(metrics)
     permits_inbox = permits.create_inbox()
     permit_task = permits.PermitTask(
         local_vm, peer_client, permits_inbox, metrics
     )
+    request_handler = handler.RequestHandler(
+        environment.vm, dispatch_inbox, permits_inbox, metrics
+    )
     snapshot_client = snapshots.SnapshotClient(local_vm, peer_client)
     subscribers: list[store_cache.Subscriber] = [
         dispatch_inbox.post,
         keeper_inbox.post,
-        ingress_inbox.post,
+        request_handler.on_store_update,
         snapshot_client.on_store_update,
         permit_task.on_store_update,
     ]
@@ -162,11 +167,22 @@
             case _:
                 return await keeper.handle_request(request)
 
-    request_handler = handler.RequestHandler(
-        dispatch_inbox, permits_inbox, metrics
-    )
+    draining = asyncio.Event()
     ingress_server = ingress.Ingress(
-        environment, request_handler, ingress_inbox, metrics
+        ingress.caller_listener(environment),
+        environment.bounds,
+        request_handler,
+        request_handler.handle,
+        draining,
+        metrics,
+    )
+    forward_server = ingress.Ingress(
+        ingress.gateway_listener(environment),
+        environment.bounds,
+        request_handler,
+        forwarding.create_handler(request_handler.handle),
+        draining,
+        metrics,
     )
 
     def answer_readiness(path: str) -> probes.ProbeResponse:
@@ -215,6 +231,15 @@
         ),
         supervision.ChildSpec("metrics", metrics_page.run),
         supervision.ChildSpec("readiness", readiness.run),
+        *(
+            (
+                supervision.ChildSpec(
+                    "forwarding", forward_server.run, stop_timeout_s=stop_s
+                ),
+            )
+            if environment.forward_port
+            else ()
+        ),
         supervision.ChildSpec(
             "ingress", ingress_server.run, stop_timeout_s=stop_s
         ),
--- a/berylweir/platform/objects.py
+++ b/berylweir/platform/objects.py
@@ -225,6 +225,8 @@
     availability_zone: str
     link_mbps: float = 0.0
     cores: float = 0.0
+    # 0 if the gateway takes no forwarded requests.
+    forward_port: Annotated[int, msgspec.Meta(ge=0, le=_MAX_PORT)] = 0
 
 
 class _LeaseSpec(msgspec.Struct):
@@ -288,6 +290,7 @@
             vm.availability_zone,
             stored.revision,
             models.VmSize(vm.link_mbps, vm.cores),
+            vm.forward_port,
         )
     )
 
@@ -370,6 +373,7 @@
             vm.availability_zone,
             vm.size.link_mbps,
             vm.size.cores,
+            vm.forward_port,
         )
     )
 
--- a/berylweir/platform/requests.py
+++ b/berylweir/platform/requests.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Iterable
 import dataclasses
+import itertools
 import math
 
 from berylweir import records
@@ -22,10 +23,27 @@
 _SERVER_LIMIT = b"server-limit"
 _SERVER_LEAVING = b"server-leaving"
 _RETRY_AFTER = b"retry-after"
+# Headers between gateways; neither servers nor callers get them.
+FORWARDED_BY = b"berylweir-forwarded-by"
+FORWARDED_GROUP = b"berylweir-group"
+FORWARDED_SENT_ATTEMPTS = b"berylweir-sent-attempts"
+FORWARDED_MAY_HAVE_RUN = b"berylweir-may-have-run"
+FORWARDED_TIMEOUT = b"berylweir-timeout-ms"
+FORWARDED_OUTCOME = b"berylweir-outcome"
+_GATEWAY_HEADERS = frozenset(
+    {
+        FORWARDED_BY,
+        FORWARDED_GROUP,
+        FORWARDED_SENT_ATTEMPTS,
+        FORWARDED_MAY_HAVE_RUN,
+        FORWARDED_TIMEOUT,
+        FORWARDED_OUTCOME,
+    }
+)
 # Longest pause that is taken from a server, in seconds.
 _MAX_PAUSE_S = 60.0
 # Hop-by-hop headers, and headers that the gateway sets itself.
-_UNFORWARDED_REQUEST_HEADERS = frozenset(
+_UNFORWARDED_REQUEST_HEADERS = _GATEWAY_HEADERS | frozenset(
     {
         b"connection",
         b"keep-alive",
@@ -41,7 +59,7 @@
     }
 )
 # Hop-by-hop headers, and headers meant for the gateway only.
-_UNFORWARDED_RESPONSE_HEADERS = frozenset(
+_UNFORWARDED_RESPONSE_HEADERS = _GATEWAY_HEADERS | frozenset(
     {
         b"connection",
         b"keep-alive",
@@ -127,15 +145,21 @@
 
 
 def encode_request(
-    head: RequestHead, body_bytes: int, server: str, deadline_ms: float
+    head: RequestHead,
+    body_bytes: int,
+    server: str | None,
+    deadline_ms: float,
+    own_headers: Iterable[Header] = (),
 ) -> bytes:
-    """Returns the encoded head of a request to a backend server.
+    """Returns the encoded head of a request that is passed on.
 
     Args:
         head: Head of the caller's request.
         body_bytes: Length of the body, in bytes.
-        server: Id of the only server that may run the request.
+        server: Id of the only server that may run the request; None if it goes
+            to another gateway.
         deadline_ms: Time left until the deadline, in milliseconds.
+        own_headers: Further headers that the gateway adds.
     """
     lines = [
         head.method.encode("latin-1"),
@@ -143,12 +167,11 @@
         head.target,
         b" HTTP/1.1\r\n",
     ]
-    for name, value in head.headers:
+    for name, value in itertools.chain(head.headers, own_headers):
         lines += (name, b": ", value, b"\r\n")
-    lines.append(
-        b"deadline-ms: %d\r\nexpect-instance: %b\r\n"
-        % (max(1, int(deadline_ms)), server.encode("latin-1"))
-    )
+    lines.append(b"deadline-ms: %d\r\n" % max(1, int(deadline_ms)))
+    if server is not None:
+        lines.append(b"expect-instance: %b\r\n" % server.encode("latin-1"))
     if body_bytes or head.method not in ("GET", "HEAD", "DELETE", "OPTIONS"):
         lines.append(b"content-length: %d\r\n" % body_bytes)
     lines.append(b"\r\n")
@@ -171,6 +194,8 @@
         content_length: Length of the body in bytes; None if it isn't stated.
         keep_alive_timeout_s: Time after which the server closes an idle
             connection, in seconds; None if it isn't stated.
+        retry_after_s: Time after which to retry, in seconds; None if it isn't
+            stated.
         headers: Headers to forward to the caller.
     """
 
@@ -181,6 +206,7 @@
     statements: models.ServerStatements
     content_length: int | None
     keep_alive_timeout_s: float | None
+    retry_after_s: float | None
     headers: tuple[Header, ...]
 
 
@@ -236,6 +262,7 @@
         ),
         None if content_length is None else int(content_length),
         _decode_keep_alive_timeout(values_by_name.get(b"keep-alive")),
+        _parse_number(values_by_name.get(_RETRY_AFTER, b"")),
         tuple(forwarded),
     )
 
--- a/berylweir/platform/settings.py
+++ b/berylweir/platform/settings.py
@@ -131,6 +131,7 @@
                     raw.limits.link_mbps,
                     raw.limits.cpu_share * raw.limits.cores,
                 ),
+                forward_port=_choose_forward_port(raw.port_range),
             )
         )
     except (tomllib.TOMLDecodeError, msgspec.MsgspecError, ValueError) as error:
@@ -142,6 +143,12 @@
     return host, int(port)
 
 
+def _choose_forward_port(port_range: tuple[int, int]) -> int:
+    """Returns the second port of the range; 0 if it has only one."""
+    first, last = port_range
+    return first + 1 if first < last else 0
+
+
 def _parse_bounds(entries: list[str]) -> models.Bounds:
     values = dict(entry.partition("=")[::2] for entry in entries)
 
--- a/berylweir/standin/gateway_platform/server.py
+++ b/berylweir/standin/gateway_platform/server.py
@@ -30,6 +30,7 @@
         key: Key, if the request has one.
         deadline_ms: Value of `Deadline-Ms`, in milliseconds, if there is one.
         started_s: When it started, on the server's clock, in seconds.
+        header_names: Names of its headers, in lower case.
     """
 
     request_id: str
@@ -38,6 +39,7 @@
     key: int | None
     deadline_ms: float | None
     started_s: float
+    header_names: frozenset[str] = frozenset()
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -208,6 +210,7 @@
                 key,
                 float(deadline) if deadline is not None else None,
                 self._clock(),
+                frozenset(request.headers),
             )
         )
         self.in_flight += 1
--- a/tests/gateway/dispatch/test_task.py
+++ b/tests/gateway/dispatch/test_task.py
@@ -4,6 +4,8 @@
 import contextlib
 import dataclasses
 
+import pytest
+
 from berylweir.gateway import messages
 from berylweir.gateway import models
 from berylweir.gateway.dispatch import decisions
@@ -62,6 +64,8 @@
         is_retry: bool = False,
         key: int | None = None,
         wait_s: float = 0.0,
+        left_s: float = 60.0,
+        may_forward: bool = True,
     ) -> messages.ServerRequirements:
         """Returns the requirements of a request.
 
@@ -69,6 +73,8 @@
             is_retry: Whether the request was sent before.
             key: Key, if it is for a keyed group.
             wait_s: Time that it may wait for a server, in seconds.
+            left_s: Time until its deadline, in seconds.
+            may_forward: Whether no other gateway forwarded it.
         """
         now_s = asyncio.get_running_loop().time()
         return messages.ServerRequirements(
@@ -84,7 +90,8 @@
             rejecting_instance=None,
             queue_deadline_s=now_s + wait_s,
             owner_wait_deadline_s=now_s + wait_s,
-            deadline_s=now_s + 60.0,
+            deadline_s=now_s + left_s,
+            may_forward=may_forward,
         )
 
     async def place(self, **options):
@@ -148,6 +155,44 @@
             assert refusal.reason is messages.RefusalReason.RETRY_BUDGET
 
 
+class TestForwarding:
+    """Requests for servers that this VM can't reach."""
+
+    @pytest.mark.parametrize("key", [None, 7])
+    async def test_request_goes_to_another_gateway(self, key):
+        """Guards against refusing what another gateway can pass on."""
+        vm = models.Vm("other", "run", "", 1, "a", forward_port=2)
+        async with DispatcherHarness(
+            models.Bounds(), is_keyed=key is not None
+        ) as harness:
+            harness.inbox.post(messages.VmsChanged({"other": vm}))
+            placement = await harness.place(key=key)
+            assert isinstance(placement, messages.Placement)
+            harness.finish(placement, messages.AttemptResult.UNREACHABLE)
+            assert (await harness.place(key=key)).vm == vm
+
+    async def test_forwarded_request_is_refused_at_once(self):
+        """Guards against requests that go to and fro between gateways."""
+        vm = models.Vm("other", "run", "", 1, "a", forward_port=2)
+        async with DispatcherHarness(models.Bounds()) as harness:
+            harness.inbox.post(messages.VmsChanged({"other": vm}))
+            placement = await harness.place()
+            harness.finish(placement, messages.AttemptResult.UNREACHABLE)
+            refusal = await harness.place(may_forward=False, wait_s=30.0)
+            assert refusal.reason is messages.RefusalReason.UNREACHABLE
+            assert refusal.is_isolated
+
+    async def test_request_without_time_left_is_not_forwarded(self):
+        """Guards against work for callers that have gone."""
+        vm = models.Vm("other", "run", "", 1, "a", forward_port=2)
+        async with DispatcherHarness(models.Bounds(), is_keyed=True) as harness:
+            harness.inbox.post(messages.VmsChanged({"other": vm}))
+            placement = await harness.place(key=7)
+            harness.finish(placement, messages.AttemptResult.UNREACHABLE)
+            refusal = await harness.place(key=7, left_s=0.0)
+            assert refusal.reason is messages.RefusalReason.UNREACHABLE
+
+
 class TestStatements:
     """Requests for servers that say that they are leaving or paused."""
 
--- a/tests/gateway/rig.py
+++ b/tests/gateway/rig.py
@@ -4,6 +4,9 @@
 from collections.abc import Awaitable
 from collections.abc import Callable
 import contextlib
+import contextvars
+import enum
+from unittest import mock
 
 import msgspec
 
@@ -13,8 +16,10 @@
 from berylweir.gateway.peers import task as peer_task
 from berylweir.gateway.replication import codec
 from berylweir.observability import counters
+from berylweir.platform import objects
 from berylweir.platform import settings
 from berylweir.platform import store
+from berylweir.router.backends import connection as http_client
 from berylweir.standin import ports
 from berylweir.standin.gateway_platform import http
 from berylweir.standin.gateway_platform import server as server_standin
@@ -23,6 +28,8 @@
 
 HOST = "site.example"
 _WAIT_TIMEOUT_S = 20.0
+# Name of the gateway whose task is running.
+_RUNNING_GATEWAY = contextvars.ContextVar("running_gateway", default="")
 
 route = server_standin.route_spec
 
@@ -135,6 +142,13 @@
         return Reply(status, headers, body, is_whole=True)
 
 
+class Cut(enum.Enum):
+    """What happens to new connections of a gateway to any server."""
+
+    REFUSED = "refused"
+    SILENT = "silent"
+
+
 class Gateway:
     """A gateway that runs in this process."""
 
@@ -149,7 +163,11 @@
             self.metrics,
             free_port(),
         )
-        self._task = asyncio.create_task(root.run(self._context))
+        context = contextvars.copy_context()
+        context.run(_RUNNING_GATEWAY.set, environment.vm)
+        self._task = asyncio.create_task(
+            root.run(self._context), context=context
+        )
 
     async def stop(self) -> None:
         """Stops the gateway as SIGTERM does."""
@@ -204,11 +222,47 @@
         self.cut_off: set[str] = set()
         self.unanswered: set[str] = set()
         self.store_calls: dict[str, list[str]] = {}
+        self._cuts: dict[str, Cut] = {}
+        self._connect = http_client.connect
+        self._server_connections: dict[str, list[http_client.Connection]] = {}
 
     async def __aenter__(self) -> "Rig":
-        """Returns the rig; its store needs no start."""
+        """Makes the connections of gateways to servers subject to cuts."""
+        self._stack.enter_context(
+            mock.patch.object(http_client, "connect", self._connect_unless_cut)
+        )
         return self
 
+    def cut_from_servers(self, gateway: "Gateway", cut: Cut) -> None:
+        """Cuts a gateway from all servers and ends its connections."""
+        self._cuts[gateway.environment.vm] = cut
+        for connection in self._server_connections.pop(
+            gateway.environment.vm, []
+        ):
+            connection.close()
+
+    def reconnect(self, gateway: "Gateway") -> None:
+        """Ends a cut."""
+        del self._cuts[gateway.environment.vm]
+
+    async def _connect_unless_cut(
+        self, host: str, port: int, timeout_s: float, **options: bool
+    ) -> http_client.Connection:
+        vm = _RUNNING_GATEWAY.get()
+        if port not in self.ports.values():
+            return await self._connect(host, port, timeout_s, **options)
+        match self._cuts.get(vm):
+            case Cut.REFUSED:
+                raise ConnectionRefusedError
+            case Cut.SILENT:
+                await asyncio.sleep(timeout_s)
+                raise TimeoutError
+            case None:
+                pass
+        connection = await self._connect(host, port, timeout_s, **options)
+        self._server_connections.setdefault(vm, []).append(connection)
+        return connection
+
     async def __aexit__(self, *_: object) -> None:
         """Stops the gateways and servers."""
         await asyncio.gather(*(g.kill() for g in self.gateways))
@@ -242,7 +296,7 @@
         )
         return server
 
-    async def add_gateway(self, name: str = "vm-1") -> Gateway:
+    async def add_gateway(self, name: str = "vm-1", zone: str = "a") -> Gateway:
         """Starts a gateway and waits until it is ready.
 
         The store refuses the gateway's calls while its name is in `cut_off`,
@@ -264,15 +318,27 @@
             models.Environment(
                 vm=name,
                 host="127.0.0.1",
-                availability_zone="a",
+                availability_zone=zone,
                 caller_address=("127.0.0.1", free_port()),
                 ready_address=("127.0.0.1", free_port()),
                 peer_port=free_port(),
                 store_address=("127.0.0.1", store_port),
                 bounds=models.Bounds(),
+                forward_port=free_port(),
             )
         )
 
+    async def add_other_gateway(self, name: str, handler: http.Handler) -> None:
+        """Registers a gateway whose forward port is served by `handler`."""
+        port = await http.listen(self._stack, handler)
+        vm = models.Vm(
+            name, "run", "127.0.0.1", free_port(), "a", forward_port=port
+        )
+        spec = msgspec.json.decode(objects.encode_vm(vm))
+        await self.store.put(
+            objects.GATEWAY_KIND, objects.VM_NAME_PREFIX + name, spec
+        )
+
     async def restart(self, stopped: Gateway) -> Gateway:
         """Starts a stopped gateway again at the same addresses."""
         return await self._start(stopped.environment)
--- a/tests/platform/test_messages.py
+++ b/tests/platform/test_messages.py
@@ -1,5 +1,7 @@
 """Tests of the HTTP messages and of the stored objects."""
 
+import dataclasses
+
 import hypothesis
 from hypothesis import strategies as st
 import msgspec
@@ -287,6 +289,23 @@
         ):
             assert isinstance(decode(make_stored_object(spec)), result.Err)
 
+    def test_vm_round_trip(self):
+        """Guards against gateways that can't be forwarded to."""
+        vm = models.Vm("v", "run", "10.1.0.15", 1, "a", 5, forward_port=2)
+        for spec, expected in (
+            (objects.encode_vm(vm), vm),
+            # Written by an earlier version.
+            (
+                b'{"incarnation":"run","host":"10.1.0.15","port":1,'
+                b'"availability_zone":"a"}',
+                dataclasses.replace(vm, forward_port=0),
+            ),
+        ):
+            stored = store.build_stored_object(
+                "vm.v", 5, msgspec.Raw(spec), msgspec.Raw(b"null")
+            )
+            assert objects.decode_gateway_object(stored).unwrap() == expected
+
     def test_key_table_round_trip(self):
         """Guards against owners or tokens lost in encoding."""
         table = models.KeyTable(
--- a/tests/platform/test_settings.py
+++ b/tests/platform/test_settings.py
@@ -40,6 +40,13 @@
         assert environment.bounds.retry_slack == 60.0
         assert environment.size == models.VmSize(link_mbps=100.0, cores=0.8)
 
+    def test_second_port_takes_forwarded_requests(self):
+        """Guards against a port outside the range that the platform gave."""
+        environment = settings.parse(_TEXT, "boot.toml").unwrap()
+        assert (environment.peer_port, environment.forward_port) == (7620, 7621)
+        text = _TEXT.replace("7635", "7620")
+        assert settings.parse(text, "boot.toml").unwrap().forward_port == 0
+
     def test_failure_names_the_file(self):
         """Guards against a failure without the path of the file."""
         for text in ("", "node = 1", _TEXT.replace("8641", "port")):
