Probe unreachable servers in the background

Seen: while a server or all links of a VM are lost, callers' requests wait up to 0.6 s for a connection, again and again, and requests on earlier connections hang until their deadlines.

Cause: a blocked server was probed with a caller's request after each backoff, and a lost zone with one every 0.3 s. Concurrent failures extended the backoff to 8 s together, a regained zone left its other servers to their backoffs, and nothing noticed a connection that got no response. Idle connections of a blocked server were not used although only new connections were refused.

Change: - A supervised task, the prober, opens the connections. The dispatcher asks for one when a request meets a blocked server whose probe is due; the connection goes to the server's pool. There is no timer; while a VM is isolated, its reports to the lease holder start probes too. - A server stays blocked for new connections until a probe opens one, or a request on a connection of its own gets a response. A response on an earlier connection only makes a probe due: the connection may live on while new ones are refused, and each response would otherwise send requests to wait again. - A blocked server is used through idle connections, unless requests on them got no response in time. A regained zone makes the probes of the others due.

Evidence: before, TestUnreachableServers fails with 3 retried requests instead of 1 in 2 s, and without a probe for a request that hangs.

--- a/berylweir/gateway/dispatch/connection_pool.py
+++ b/berylweir/gateway/dispatch/connection_pool.py
@@ -1,10 +1,14 @@
-"""A pool of idle connections to one backend server."""
+"""A pool of idle connections to one backend server, and opening new ones."""
 
 import collections
 
 from berylweir.gateway import models
 from berylweir.router.backends import connection as http
 
+# Connect timeout, in seconds. It is below the 1 s after which TCP retransmits a
+# SYN that a server with a full accept queue dropped.
+_CONNECT_TIMEOUT_S = 0.6
+
 # Connections are dropped this long before the server's keep-alive timeout, in
 # seconds, so that no request is sent while the server closes the connection.
 _CLOSE_MARGIN_S = 1.0
@@ -83,29 +87,76 @@
             is_idempotent: Whether the request may run more than once.
             request_id: Id of the request.
         """
+        index = self._find_usable(now_s, is_idempotent, request_id)
+        if index is None:
+            return None
+        _, connection = self._idle[index]
+        del self._idle[index]
+        return connection
+
+    def has_usable(
+        self, now_s: float, *, is_idempotent: bool, request_id: str = ""
+    ) -> bool:
+        """Returns whether `acquire` with the same arguments would find one.
+
+        Args:
+            now_s: Time on the loop's clock, in seconds.
+            is_idempotent: Whether the request may run more than once.
+            request_id: Id of the request.
+        """
+        return self._find_usable(now_s, is_idempotent, request_id) is not None
+
+    def _find_usable(
+        self, now_s: float, is_idempotent: bool, request_id: str
+    ) -> int | None:
+        """Returns the index of a usable connection.
+
+        Connections that expired or ended are closed on the way.
+        """
         while self._idle and self._idle[0][0] <= now_s:
             self._idle.popleft()[1].close()
-        passed_over: list[tuple[float, http.Connection]] = []
-        found: http.Connection | None = None
-        while self._idle and found is None:
-            expires_s, connection = self._idle[-1]
+        index = len(self._idle) - 1
+        while index >= 0:
+            expires_s, connection = self._idle[index]
+            last_active_s = max(connection.last_received_s, connection.opened_s)
             if (
                 not is_idempotent
-                and now_s - connection.last_received_s
-                > _MAX_IDLE_NON_IDEMPOTENT_S
+                and now_s - last_active_s > _MAX_IDLE_NON_IDEMPOTENT_S
             ):
-                break
-            self._idle.pop()
+                return None
             if expires_s <= now_s or connection.has_unread():
+                del self._idle[index]
                 connection.close()
-            elif connection.has_carried(request_id):
-                passed_over.append((expires_s, connection))
-            else:
-                found = connection
-        self._idle.extend(reversed(passed_over))
-        return found
+            elif not connection.has_carried(request_id):
+                return index
+            index -= 1
+        return None
 
     def close(self) -> None:
         """Closes all idle connections."""
         while self._idle:
             self._idle.pop()[1].close()
+
+
+async def connect(
+    server: models.BackendServer, max_wait_s: float = _CONNECT_TIMEOUT_S
+) -> http.Connection:
+    """Opens a connection to a server.
+
+    Args:
+        server: The server.
+        max_wait_s: Time limit in seconds, if it is below the usual one.
+
+    Raises:
+        OSError: If it can't be opened.
+        TimeoutError: If it isn't opened in time.
+    """
+    connection = await http.connect(
+        server.host,
+        server.port,
+        max(0.0, min(_CONNECT_TIMEOUT_S, max_wait_s)),
+        allow_close_delimited=True,
+        reset_on_close=True,
+    )
+    connection.enable_keepalive()
+    return connection
--- a/berylweir/gateway/dispatch/models.py
+++ b/berylweir/gateway/dispatch/models.py
@@ -44,6 +44,10 @@
 # run the request. A reset counts as a rejection if it comes within this share
 # of the usual service time.
 _EARLY_RESET_SHARE = 0.3
+# A response is overdue after this multiple of the usual service time, but not
+# before the shortest time, in seconds.
+_OVERDUE_SERVICE_TIMES = 3.0
+_MIN_OVERDUE_S = 0.3
 # Service time assumed for a server without a measurement, in ms.
 DEFAULT_SERVICE_MS = 100.0
 
@@ -128,6 +132,23 @@
             return 1.0
         return self._slowness
 
+    def take_usage(self) -> messages.ServerUsage | None:
+        """Returns the usage since the last call; None if there is none."""
+        is_leaving = self.leaving_since_s is not None
+        if not (self.served or self.failed or is_leaving) and (
+            self.limit is None
+        ):
+            return None
+        usage = messages.ServerUsage(
+            self.served,
+            self.failed,
+            self.service_ms,
+            self.limit,
+            self.server.born_ms if is_leaving else None,
+        )
+        self.served = self.failed = 0
+        return usage
+
     def start_request(self) -> None:
         """Counts a request that is sent to the server."""
         self.in_flight += 1
@@ -144,6 +165,12 @@
         """
         return self._shed_backoff_level > 0
 
+    @property
+    def overdue_after_s(self) -> float:
+        """Time after which a missing response is suspicious, in seconds."""
+        service_s = (self.service_ms or DEFAULT_SERVICE_MS) / 1000.0
+        return max(_MIN_OVERDUE_S, _OVERDUE_SERVICE_TIMES * service_s)
+
     def finish_request(
         self,
         finished: messages.AttemptFinished,
--- a/berylweir/gateway/dispatch/task.py
+++ b/berylweir/gateway/dispatch/task.py
@@ -10,11 +10,12 @@
 from berylweir.gateway import models
 from berylweir.gateway.dispatch import availability
 from berylweir.gateway.dispatch import connection_pool
+from berylweir.gateway.dispatch import connectivity
 from berylweir.gateway.dispatch import decisions
 from berylweir.gateway.dispatch import key_usage
 from berylweir.gateway.dispatch import leaving
 from berylweir.gateway.dispatch import models as dispatch
-from berylweir.gateway.dispatch import reachability
+from berylweir.gateway.dispatch import probes
 from berylweir.gateway.dispatch import refusals
 from berylweir.gateway.dispatch import retry_budget
 from berylweir.gateway.dispatch import slow_start
@@ -56,6 +57,7 @@
         self,
         environment: models.Environment,
         inbox: Inbox,
+        prober_inbox: probes.Inbox,
         metrics: counters.Counters,
         on_server_leaving: Callable[[], None] = lambda: None,
     ) -> None:
@@ -64,6 +66,7 @@
         Args:
             environment: Settings that the platform passed.
             inbox: Mailbox of the dispatcher.
+            prober_inbox: Mailbox of the task that probes servers.
             metrics: Counters.
             on_server_leaving: Called when a server says that it is leaving
                 before its entry does.
@@ -81,7 +84,7 @@
         self._evacuated_zones: frozenset[str] = frozenset()
         self._vms: Mapping[str, models.Vm] = {}
         self._waiting_requests: list[messages.PlaceRequest] = []
-        self._reachability = reachability.ReachabilityTracker()
+        self._connectivity = connectivity.Connectivity(prober_inbox, metrics)
         self._forwarding = forwarding.ForwardingState(
             environment.vm,
             environment.availability_zone,
@@ -125,33 +128,48 @@
                 self._finish_attempt(message)
             case messages.ForwardFinished():
                 self._forwarding.finish(message, self._now_s())
+            case messages.ResponseOverdue(placement):
+                state = self._servers.get(placement.server.instance)
+                if state is not None:
+                    self._connectivity.record_overdue(
+                        state, placement.placed_s, self._now_s()
+                    )
+            case messages.ServerProbed():
+                self._finish_probe(message)
+            case messages.CollectKeyUsage(reply):
+                if not reply.done():
+                    reply.set_result(self._collect_key_usage())
+            case (
+                messages.ConfigurationChanged()
+                | messages.ServersChanged()
+                | messages.EvacuationsChanged()
+                | messages.KeyTableChanged()
+                | messages.VmsChanged()
+                | messages.LeaseChanged()
+            ):
+                self._apply_store_update(message)
+            case _:
+                typing.assert_never(message)
+
+    def _apply_store_update(self, update: messages.StoreUpdate) -> None:
+        match update:
             case messages.ConfigurationChanged(configuration):
                 self._apply_configuration(configuration)
             case messages.ServersChanged(servers):
                 self._update_servers(servers)
             case messages.EvacuationsChanged(zones):
                 self._evacuated_zones = zones
+                self._update_connectivity()
             case messages.KeyTableChanged(table):
-                group = self._groups.get(table.group)
-                if group is not None and (
-                    group.table is None or group.table.revision < table.revision
-                ):
-                    group.table = table
+                self._update_key_table(table)
             case messages.VmsChanged(vms):
                 self._vms = vms
                 self._forwarding.update_vms(vms)
                 self._slow_start_shares.update_vms(vms.keys())
             case messages.LeaseChanged():
                 pass
-            case messages.CollectKeyUsage(reply):
-                if not reply.done():
-                    reply.set_result(
-                        key_usage.collect(
-                            self._vm, self._groups, self._servers.values()
-                        )
-                    )
             case _:
-                typing.assert_never(message)
+                typing.assert_never(update)
 
     # Configuration and servers
 
@@ -171,6 +189,13 @@
                 ),
             )
 
+    def _update_key_table(self, table: models.KeyTable) -> None:
+        group = self._groups.get(table.group)
+        if group is not None and (
+            group.table is None or group.table.revision < table.revision
+        ):
+            group.table = table
+
     def _update_servers(
         self, servers: Mapping[str, models.BackendServer]
     ) -> None:
@@ -178,7 +203,6 @@
         instances = {server.instance: server for server in servers.values()}
         for instance in [key for key in self._servers if key not in instances]:
             self._servers.pop(instance).pool.close()
-        self._reachability.retain(instances)
         self._forwarding.retain_owners(instances)
         self._statement_log.retain(set(instances))
         for instance, server in instances.items():
@@ -200,6 +224,23 @@
             self._servers_by_group.setdefault(state.server.group, []).append(
                 state
             )
+        self._update_connectivity()
+
+    def _update_connectivity(self) -> None:
+        self._connectivity.update_servers(
+            s.server for s in self._servers.values() if self._is_eligible(s)
+        )
+
+    def _collect_key_usage(self) -> messages.KeyUsage:
+        self._connectivity.probe_if_isolated(
+            self._servers.values(), self._now_s()
+        )
+        return key_usage.collect(
+            self._vm,
+            self._groups,
+            self._servers.values(),
+            is_isolated=self._connectivity.is_isolated,
+        )
 
     # Requests
 
@@ -280,7 +321,9 @@
             return refusals.create(_Reason.NO_OWNER)
         if state is None or not self._is_eligible(state):
             return refusals.create(_Reason.NO_OWNER)
-        if not self._reachability.allows_request(state.server, now_s):
+        if not self._connectivity.select_reachable(
+            (state,), place_request.requirements, now_s
+        ):
             return self._forward_or_refuse(
                 place_request,
                 messages.OwnerUnreachable(state.server.instance),
@@ -312,7 +355,7 @@
         requirements = place_request.requirements
         group_servers = self._servers_by_group.get(requirements.group, [])
         sampled = decisions.sample_servers(group_servers, self._rng)
-        if not any(self._is_usable(s, now_s) for s in sampled):
+        if not any(self._is_usable(s) for s in sampled):
             sampled = group_servers
         eligible = [s for s in sampled if self._is_eligible(s)]
         if not eligible:
@@ -333,11 +376,9 @@
         )
         if isinstance(available, messages.NotPlaced):
             return available
-        reachable = [
-            s
-            for s in available
-            if self._reachability.allows_request(s.server, now_s)
-        ]
+        reachable = self._connectivity.select_reachable(
+            available, requirements, now_s
+        )
         if (
             not reachable
             or requirements.unsent_attempts >= _MAX_UNSENT_ATTEMPTS
@@ -379,16 +420,13 @@
         now_s: float,
     ) -> messages.NotPlaced | None:
         """Assigns another gateway, or returns a refusal if there is none."""
-        unreachable_zones = self._reachability.unreachable_zones
-        is_isolated = not any(
-            state.server.availability_zone not in unreachable_zones
-            and self._reachability.allows_request(state.server, now_s)
-            for state in self._servers.values()
-        )
+        is_isolated = self._connectivity.is_isolated
         if self._forwarding.try_forward(
             place_request,
             cause,
-            frozenset() if is_isolated else unreachable_zones,
+            frozenset()
+            if is_isolated
+            else self._connectivity.unreachable_zones,
             now_s,
         ):
             return None
@@ -398,10 +436,10 @@
             is_isolated=is_isolated,
         )
 
-    def _is_usable(self, state: dispatch.ServerState, now_s: float) -> bool:
-        return self._is_eligible(state) and self._reachability.allows_request(
-            state.server, now_s
-        )
+    def _is_usable(self, state: dispatch.ServerState) -> bool:
+        return self._is_eligible(
+            state
+        ) and self._connectivity.allows_connection(state.server)
 
     def _is_eligible(self, state: dispatch.ServerState) -> bool:
         server = state.server
@@ -456,9 +494,9 @@
             now_s,
             state.estimated_load(now_s),
             state.limit,
+            state.overdue_after_s,
         )
         state.start_request()
-        self._reachability.record_attempt(state.server, now_s)
         place_request.reply.set_result(placement)
         return None
 
@@ -504,9 +542,7 @@
             state.pool.close()
             if not state.server.is_draining:
                 self._on_server_leaving()
-        self._reachability.record_result(
-            state.server, finished.attempt_result, now_s
-        )
+        self._connectivity.record_result(finished, now_s)
         if connection is not None:
             self._release_connection(
                 state, connection, finished.keep_alive_timeout_s, now_s
@@ -514,6 +550,18 @@
 
     # Connections
 
+    def _finish_probe(self, probed: messages.ServerProbed) -> None:
+        now_s = self._now_s()
+        state = self._servers.get(probed.server.instance)
+        if state is not None:
+            self._connectivity.record_probe(probed, now_s)
+        if probed.connection is None:
+            return
+        if state is None:
+            probed.connection.close()
+        else:
+            self._release_connection(state, probed.connection, None, now_s)
+
     def _release_connection(
         self,
         state: dispatch.ServerState,
--- a/berylweir/gateway/exchange/attempt.py
+++ b/berylweir/gateway/exchange/attempt.py
@@ -4,6 +4,7 @@
 
 from berylweir.gateway import messages
 from berylweir.gateway import models
+from berylweir.gateway.dispatch import connection_pool
 from berylweir.gateway.dispatch import task as dispatch
 from berylweir.gateway.exchange import models as exchange
 from berylweir.gateway.exchange import outcomes
@@ -12,9 +13,6 @@
 from berylweir.router.backends import connection as http
 from berylweir.router.backends import exceptions as http_exceptions
 
-# Connect timeout, in seconds. It is below the 1 s after which TCP retransmits a
-# SYN that a server with a full accept queue dropped.
-_CONNECT_TIMEOUT_S = 0.6
 # The body of a rejection is read, so that the connection can be reused, up to
 # this many bytes and for this time in seconds. Rejections are short.
 _MAX_REJECTION_BYTES = 65_536
@@ -85,14 +83,9 @@
         if self._connection is None:
             remaining_s = requirements.deadline_s - self._loop.time()
             try:
-                self._connection = await http.connect(
-                    server.host,
-                    server.port,
-                    max(0.0, min(_CONNECT_TIMEOUT_S, remaining_s)),
-                    allow_close_delimited=True,
-                    reset_on_close=True,
+                self._connection = await connection_pool.connect(
+                    server, remaining_s
                 )
-                self._connection.enable_keepalive()
             except (OSError, TimeoutError):
                 return outcomes.NotSent(), messages.AttemptResult.UNREACHABLE
         connection = self._connection
@@ -140,7 +133,7 @@
         connection: http.Connection,
         stream_deadline_s: float,
     ) -> tuple[outcomes.Outcome, messages.AttemptResult]:
-        raw_head = await connection.read_head()
+        raw_head = await self._read_head(connection)
         if (
             request.head.request_id
             and connection.is_reused
@@ -171,6 +164,26 @@
     def _finish_stream(self, end: responses.StreamEnd) -> None:
         self._report_result(_RESULTS_OF_STREAMS[end])
 
+    async def _read_head(
+        self, connection: http.Connection
+    ) -> http.ResponseHead:
+        """Reads the head, and reports if it is overdue.
+
+        Only an earlier connection may have lost its server unnoticed.
+        """
+        overdue_after_s = self._placement.overdue_after_s
+        if self._placement.connection is None or overdue_after_s is None:
+            return await connection.read_head()
+        timer = self._loop.call_later(
+            overdue_after_s,
+            self._inbox.post,
+            messages.ResponseOverdue(self._placement),
+        )
+        try:
+            return await connection.read_head()
+        finally:
+            timer.cancel()
+
     def _report_result(self, attempt_result: messages.AttemptResult) -> None:
         if self._is_finished:
             return
--- a/berylweir/gateway/messages.py
+++ b/berylweir/gateway/messages.py
@@ -149,6 +149,8 @@
         limit: Requests per second that the server takes from all VMs together;
             None if it takes any number. With a limit, the request may be sent
             once there is a permit for it.
+        overdue_after_s: Time in seconds after which a missing response is
+            reported with `ResponseOverdue`; None if it isn't.
     """
 
     server: models.BackendServer
@@ -156,6 +158,7 @@
     placed_s: float
     load: float
     limit: float | None = None
+    overdue_after_s: float | None = None
 
 
 @records.record
@@ -327,6 +330,41 @@
     is_draining: bool = False
 
 
+@records.record
+class ResponseOverdue:
+    """Reports that a request on an earlier connection waits for its response.
+
+    Attributes:
+        placement: Server and connection of the request.
+    """
+
+    placement: Placement
+
+
+@records.record
+class ProbeServer:
+    """Asks the prober to open a connection to a server.
+
+    Attributes:
+        server: The server.
+    """
+
+    server: models.BackendServer
+
+
+@records.record
+class ServerProbed:
+    """Reports the result of a probe to the dispatcher.
+
+    Attributes:
+        server: The server.
+        connection: The open connection; None if none could be opened.
+    """
+
+    server: models.BackendServer
+    connection: http.Connection | None
+
+
 @records.record
 class PlacementReturned:
     """Returns a placement to the dispatcher; the request wasn't sent.
@@ -436,7 +474,8 @@
         vm: Name of the VM.
         keys: Keys of the requests by keyed group, one per request.
         servers: Requests to each server, by the server's name.
-        is_isolated: Whether the VM reaches no server.
+        is_isolated: Whether the VM can't open a connection to any server. It
+            isn't sent to other gateways.
     """
 
     vm: str
@@ -462,5 +501,7 @@
     | PlacementReturned
     | AttemptFinished
     | ForwardFinished
+    | ResponseOverdue
+    | ServerProbed
     | CollectKeyUsage
 )
--- a/berylweir/gateway/supervisor.py
+++ b/berylweir/gateway/supervisor.py
@@ -8,6 +8,7 @@
 from berylweir.gateway import models
 from berylweir.gateway import registration
 from berylweir.gateway import store_cache
+from berylweir.gateway.dispatch import probes as server_probes
 from berylweir.gateway.dispatch import task as dispatch
 from berylweir.gateway.exchange import handler
 from berylweir.gateway.forwarding import server as forwarding
@@ -81,6 +82,7 @@
         return store.StoreClient(address, generation)
 
     dispatch_inbox = dispatch.create_inbox()
+    prober_inbox = server_probes.create_inbox()
     keeper_inbox = ownership.create_inbox()
     peer_client = peers.PeerClient(metrics)
     permits_inbox = permits.create_inbox()
@@ -207,10 +209,19 @@
         supervision.ChildSpec(
             "dispatcher",
             dispatch.Dispatcher(
-                environment, dispatch_inbox, metrics, keeper.report_soon
+                environment,
+                dispatch_inbox,
+                prober_inbox,
+                metrics,
+                keeper.report_soon,
             ).run,
             stop_timeout_s=0.0,
         ),
+        supervision.ChildSpec(
+            "prober",
+            server_probes.ServerProber(prober_inbox, dispatch_inbox.post).run,
+            stop_timeout_s=0.0,
+        ),
         supervision.ChildSpec("permits", permit_task.run, stop_timeout_s=0.0),
         supervision.ChildSpec("keeper", keeper.run, stop_timeout_s=1.0),
         supervision.ChildSpec(
--- a/tests/gateway/dispatch/test_task.py
+++ b/tests/gateway/dispatch/test_task.py
@@ -3,15 +3,19 @@
 import asyncio
 import contextlib
 import dataclasses
+import socket
 
 import pytest
 
 from berylweir.gateway import messages
 from berylweir.gateway import models
+from berylweir.gateway.dispatch import connection_pool
 from berylweir.gateway.dispatch import decisions
+from berylweir.gateway.dispatch import probes
 from berylweir.gateway.dispatch import task
 from berylweir.gateway.ownership import tables
 from berylweir.observability import counters
+from berylweir.router.backends import connection as http
 from berylweir.supervision import models as supervision
 
 _SLOTS = 3
@@ -24,6 +28,10 @@
         self, bounds: models.Bounds, *, is_keyed: bool = False
     ) -> None:
         self.inbox = task.create_inbox()
+        self.prober_inbox = probes.create_inbox()
+        self.server = models.BackendServer(
+            "s", 1, "g", "127.0.0.1", 1, "a", _SLOTS, False, 0.0, 1
+        )
         self._is_keyed = is_keyed
         self._stack = contextlib.AsyncExitStack()
         self._dispatcher = task.Dispatcher(
@@ -31,6 +39,7 @@
                 "vm", "127.0.0.1", "a", ("", 0), ("", 0), 1, ("", 0), bounds
             ),
             self.inbox,
+            self.prober_inbox,
             counters.Counters(),
         )
 
@@ -43,12 +52,9 @@
         configuration = models.Configuration(
             "1", 1, (), {"g": group}, models.CallerLimits()
         )
-        server = models.BackendServer(
-            "s", 1, "g", "127.0.0.1", 1, "a", _SLOTS, False, 0.0, 1
-        )
         self.inbox.post(messages.ConfigurationChanged(configuration))
-        self.inbox.post(messages.ServersChanged({"s": server}))
-        table = tables.create("g", [server.instance], 1)
+        self.inbox.post(messages.ServersChanged({"s": self.server}))
+        table = tables.create("g", [self.server.instance], 1)
         self.inbox.post(
             messages.KeyTableChanged(dataclasses.replace(table, revision=1))
         )
@@ -106,6 +112,7 @@
         placement: messages.Placement,
         attempt_result: messages.AttemptResult = messages.AttemptResult.SERVED,
         statements: models.ServerStatements | None = None,
+        connection: http.Connection | None = None,
     ) -> None:
         """Reports the end of an attempt."""
         self.inbox.post(
@@ -113,13 +120,25 @@
                 placement,
                 self.requirements(),
                 attempt_result,
-                None,
+                connection,
                 statements or models.ServerStatements(),
                 None,
                 0.1,
             )
         )
 
+    async def usage(self) -> messages.KeyUsage:
+        """Returns the usage, after all earlier messages were handled."""
+        reply = asyncio.get_running_loop().create_future()
+        self.inbox.post(messages.CollectKeyUsage(reply))
+        return await reply
+
+    async def lose_server(self) -> None:
+        """Reports that no connection could be opened, and waits."""
+        placement = await self.place()
+        self.finish(placement, messages.AttemptResult.UNREACHABLE)
+        await self.usage()
+
 
 class TestDispatcher:
     """Refused requests."""
@@ -236,3 +255,176 @@
             assert isinstance(
                 await harness.place(wait_s=10.0), messages.Placement
             )
+
+
+class TestProbes:
+    """Servers to which no connection can be opened."""
+
+    @contextlib.asynccontextmanager
+    async def open_connection(self):
+        """Yields a connection to a server that accepts it."""
+        with socket.create_server(("127.0.0.1", 0)) as listener:
+            host, port = listener.getsockname()
+            server = models.BackendServer(
+                "s", 1, "g", host, port, "a", _SLOTS, False, 0.0, 1
+            )
+            connection = await connection_pool.connect(server)
+            try:
+                yield connection
+            finally:
+                connection.close()
+
+    async def probe_of(
+        self, harness: DispatcherHarness
+    ) -> messages.ProbeServer | None:
+        """Returns the probe that requests have started, if there is one."""
+        async with asyncio.timeout(20.0):
+            while not len(harness.prober_inbox):
+                await harness.place(key=7)
+                await asyncio.sleep(0.02)
+        return await harness.prober_inbox.get()
+
+    async def test_refused_request_starts_a_probe(self):
+        """Guards against callers' requests that are used as probes."""
+        async with DispatcherHarness(models.Bounds(), is_keyed=True) as harness:
+            placement = await harness.place(key=7)
+            harness.finish(placement, messages.AttemptResult.UNREACHABLE)
+            probe = await self.probe_of(harness)
+            assert probe.server == harness.server
+            refusal = await harness.place(key=7)
+            assert refusal.reason is messages.RefusalReason.UNREACHABLE
+            assert not len(harness.prober_inbox)
+
+    async def test_connection_of_a_probe_is_used_for_the_next_request(self):
+        """Guards against paying for a connection twice."""
+        async with (
+            self.open_connection() as connection,
+            DispatcherHarness(models.Bounds(), is_keyed=True) as harness,
+        ):
+            placement = await harness.place(key=7)
+            harness.finish(placement, messages.AttemptResult.UNREACHABLE)
+            harness.inbox.post(
+                messages.ServerProbed(harness.server, connection)
+            )
+            placement = await harness.place(key=7)
+            assert placement.connection is connection
+            # Further requests may open connections.
+            assert (await harness.place(key=7)).connection is None
+
+    async def test_connection_to_a_server_that_may_not_be_used_is_closed(self):
+        """Guards against a leaving server that is kept from shutting down."""
+        for servers in (
+            {},
+            {"s": dataclasses.replace(self.draining_server(), revision=2)},
+        ):
+            async with (
+                self.open_connection() as connection,
+                DispatcherHarness(models.Bounds()) as harness,
+            ):
+                harness.inbox.post(messages.ServersChanged(servers))
+                harness.inbox.post(
+                    messages.ServerProbed(harness.server, connection)
+                )
+                await harness.usage()
+                await asyncio.sleep(0)
+                assert connection.is_closed
+
+    def draining_server(self) -> models.BackendServer:
+        """Returns the harness's server while it drains."""
+        return models.BackendServer(
+            "s", 1, "g", "127.0.0.1", 1, "a", _SLOTS, True, 0.0, 1
+        )
+
+    async def test_paused_server_is_not_probed(self):
+        """Guards against work for a server that asked for a pause."""
+        async with DispatcherHarness(models.Bounds(), is_keyed=True) as harness:
+            placements = [await harness.place(key=7) for _ in range(2)]
+            harness.finish(
+                placements[0],
+                messages.AttemptResult.SHED,
+                models.ServerStatements(pause=models.Pause(30.0)),
+            )
+            harness.finish(placements[1], messages.AttemptResult.UNREACHABLE)
+            await asyncio.sleep(0.7)
+            refusal = await harness.place(key=7)
+            assert refusal.reason is messages.RefusalReason.UNREACHABLE
+            assert not len(harness.prober_inbox)
+
+    async def test_idle_connection_of_an_unreachable_server_is_used(self):
+        """Guards against refusing what an open connection could serve.
+
+        A link may refuse new connections while the earlier ones live on.
+        """
+        async with (
+            self.open_connection() as connection,
+            DispatcherHarness(models.Bounds(), is_keyed=True) as harness,
+        ):
+            placements = [await harness.place(key=7) for _ in range(2)]
+            harness.finish(placements[0], connection=connection)
+            harness.finish(placements[1], messages.AttemptResult.UNREACHABLE)
+            placement = await harness.place(key=7)
+            assert placement.connection is connection
+            refusal = await harness.place(key=7)
+            assert refusal.reason is messages.RefusalReason.UNREACHABLE
+            harness.finish(placement, connection=connection)
+            placement = await harness.place(key=7)
+            assert placement.connection is connection
+
+    async def test_silent_connections_of_an_unreachable_server_are_not_used(
+        self,
+    ):
+        """Guards against requests that hang although the server is lost."""
+        async with (
+            self.open_connection() as idle,
+            self.open_connection() as silent,
+            DispatcherHarness(models.Bounds(), is_keyed=True) as harness,
+        ):
+            placements = [await harness.place(key=7) for _ in range(3)]
+            harness.finish(placements[0], connection=idle)
+            harness.finish(placements[1], connection=silent)
+            overdue = await harness.place(key=7)
+            assert overdue.connection is silent
+            harness.finish(placements[2], messages.AttemptResult.UNREACHABLE)
+            harness.inbox.post(messages.ResponseOverdue(overdue))
+            refusal = await harness.place(key=7)
+            assert refusal.reason is messages.RefusalReason.UNREACHABLE
+            assert not idle.is_closed
+
+    async def test_overdue_response_starts_one_probe(self):
+        """Guards against isolation that goes unnoticed for seconds.
+
+        Requests on earlier connections may hang until their deadlines.
+        """
+        async with DispatcherHarness(models.Bounds()) as harness:
+            placement = await harness.place()
+            assert placement.overdue_after_s >= 0.3
+            for _ in range(2):
+                harness.inbox.post(messages.ResponseOverdue(placement))
+            await harness.usage()
+            probe = await harness.prober_inbox.get()
+            assert probe.server == harness.server
+            assert not len(harness.prober_inbox)
+            harness.inbox.post(messages.ServerProbed(harness.server, None))
+            assert (await harness.usage()).is_isolated
+
+    async def test_isolated_vm_without_requests_probes_with_its_reports(self):
+        """Guards against an isolation that lasts until a request arrives."""
+        async with DispatcherHarness(models.Bounds()) as harness:
+            await harness.lose_server()
+            assert (await harness.usage()).is_isolated
+            assert len(harness.prober_inbox) == 1
+            async with self.open_connection() as connection:
+                harness.inbox.post(
+                    messages.ServerProbed(harness.server, connection)
+                )
+                assert not (await harness.usage()).is_isolated
+
+    async def test_server_of_an_evacuated_zone_is_not_probed(self):
+        """Guards against traffic to a zone that must get none."""
+        async with DispatcherHarness(models.Bounds()) as harness:
+            placement = await harness.place()
+            harness.finish(placement, messages.AttemptResult.UNREACHABLE)
+            harness.inbox.post(messages.EvacuationsChanged(frozenset("a")))
+            harness.inbox.post(messages.ResponseOverdue(placement))
+            assert not (await harness.usage()).is_isolated
+            assert not len(harness.prober_inbox)
--- a/tests/gateway/test_path.py
+++ b/tests/gateway/test_path.py
@@ -2,10 +2,12 @@
 
 import asyncio
 import contextlib
+import itertools
 
 import pytest
 
 from berylweir.standin.gateway_platform import http
+from berylweir.standin.gateway_platform import server as server_standin
 from tests.gateway import rig
 
 
@@ -433,3 +435,50 @@
                 return bool(other.executions)
 
             await rig.until(reaches_new_group)
+
+
+class TestUnreachableServers:
+    """Servers to which the gateway can't open a connection."""
+
+    async def test_requests_are_not_used_as_probes(self):
+        """Guards against requests that wait for a server known to be lost."""
+        async with start_deployment(servers=1) as (deployment, gateway):
+            server = server_standin.Server("lost")
+            port = rig.free_port()
+            await deployment.store.put(
+                "servers",
+                "lost",
+                server_standin.server_spec("lost", "books", port, zone="a"),
+            )
+            ids = (f"a{number}" for number in itertools.count())
+
+            async def is_lost() -> bool:
+                assert (await gateway.ask("/r/1", next(ids))).status == 200
+                return "gateway.tried_again" in gateway.metrics.counts
+
+            await rig.until(is_lost)
+            for _ in range(40):
+                assert (await gateway.ask("/r/1", next(ids))).status == 200
+                await asyncio.sleep(0.05)
+            assert gateway.metrics.counts["gateway.tried_again"] == 1
+            async with contextlib.AsyncExitStack() as stack:
+                await http.listen(stack, server.handle, port)
+
+                async def is_used() -> bool:
+                    assert (await gateway.ask("/r/1", next(ids))).status == 200
+                    return bool(server.executions)
+
+                await rig.until(is_used)
+            counts = gateway.metrics.counts
+            assert counts["gateway.probes.failed"] >= 1
+            assert counts["gateway.probes.connected"] == 1
+
+    async def test_request_that_hangs_on_an_earlier_connection_starts_a_probe(
+        self,
+    ):
+        """Guards against lost links that show only at the deadlines."""
+        async with start_deployment(servers=1) as (deployment, gateway):
+            assert (await gateway.ask("/r/1", "a1")).status == 200
+            deployment.servers["s0"].service_s = 0.7
+            assert (await gateway.ask("/r/1", "a2")).status == 200
+            assert gateway.metrics.counts["gateway.probes.connected"] == 1
