Refuse requests that come too late in a planned stop

What callers saw: after SIGTERM, a request whose body ended 3.2 s after the signal was passed on. Its server needed 4 s; the gateway ended after 6 s and the caller's connection was closed without an answer, although the request had run and may not be repeated.

Cause: the ingress closed idle connections 3 s after the signal, but the handler of requests knew nothing of the stop. Requests were still sent to servers up to the end of the process in these cases:

- an upload that began before the 3 s were over, and ended after them;
- a request behind a streamed response that began before the stop, and so didn't tell the caller that the connection closes;
- a request that waited for an owner, for a server with capacity or for a permit: its wait was only limited by its goal and its deadline;

A waiting request could also get no answer at all, as the dispatcher ends before the process does.

Change: the ingress tells the handler when the stop ends. A pure function of that time and the request's latest end (the deadline, or the route's timeout; for a download the time for which the caller waits) says until when the request may be sent: without limit if it is over before the connections end, otherwise until 2.8 s after the signal. The same time limits the waits for a server and for a permit, also those that began before the stop. What is too late is refused with 503 and a short Retry-After, or fails with 502 if a server may have run it. Requests that were sent to a server are not broken off.

The time in which all is accepted is 2.8 s instead of 3 s: it is counted from the moment at which the gateway handles the signal, and requests after the platform's 3 s must not be cut off.

Evidence: tests/gateway/test_stop.py. With the ingress and the handler as they were, four of the five tests of TestLateRequests fail: the real process closes the connection of the upload without an answer after its server has begun it, the request behind the download and the retry are run, and the request without an owner has no answer when the stop has ended. All pass now. A late request with a deadline before the end is served before and after.

--- a/berylweir/gateway/exchange/answers.py
+++ b/berylweir/gateway/exchange/answers.py
@@ -14,6 +14,8 @@
 _LOGGER = logging.getLogger(__name__)
 # Retry-After if the dispatcher gave none, in seconds.
 _RETRY_AFTER_S = 0.5
+# Retry-After while this VM stops, in seconds. Other VMs can take the request.
+_STOPPING_RETRY_AFTER_S = 0.1
 
 
 class AnswerBuilder:
@@ -94,6 +96,21 @@
             )
         return self.refuse(request, route, "out of time")
 
+    def answer_stopping(
+        self,
+        request: exchange.CallerRequest,
+        route: models.Route,
+        state: exchange.RequestState,
+    ) -> exchange.Answer:
+        """Answers that this gateway stops before the request could end."""
+        if state.may_go_to_third_gateway(request.origin):
+            return self.refuse_unreachable(
+                request, route, _STOPPING_RETRY_AFTER_S, is_isolated=True
+            )
+        if state.may_have_run:
+            return self.fail(request, route, outcomes.BAD_GATEWAY, "stopping")
+        return self.refuse(request, route, "stopping", _STOPPING_RETRY_AFTER_S)
+
     def refuse(
         self,
         request: exchange.CallerRequest,
--- a/berylweir/gateway/exchange/handler.py
+++ b/berylweir/gateway/exchange/handler.py
@@ -11,6 +11,8 @@
 from berylweir.gateway.exchange import attempt
 from berylweir.gateway.exchange import models as exchange
 from berylweir.gateway.exchange import outcomes
+from berylweir.gateway.exchange import responses
+from berylweir.gateway.exchange import stopping
 from berylweir.gateway.forwarding import client as forwarding
 from berylweir.gateway.forwarding import outcomes as forwarded
 from berylweir.gateway.permits import task as permits
@@ -53,6 +55,7 @@
         self._answers = answers.AnswerBuilder(metrics)
         self._route_table: routing.RouteTable | None = None
         self._traffic_splitter = routing.TrafficSplitter()
+        self._send_limits = stopping.SendLimits()
 
     @property
     def route_table(self) -> routing.RouteTable | None:
@@ -76,6 +79,10 @@
             case _:
                 pass
 
+    def begin_stop(self, stop: stopping.Stopping) -> None:
+        """Refuses requests that can't be finished before the gateway ends."""
+        self._send_limits.begin_stop(stop)
+
     async def handle(self, request: exchange.CallerRequest) -> exchange.Answer:
         """Returns the answer to a request.
 
@@ -89,20 +96,28 @@
         group, state, timeout_ms = self._prepare(request, route)
         deadline_s = request.head_received_s + timeout_ms / 1000.0
         loop = asyncio.get_running_loop()
+        # A download may take longer than the route's timeout.
+        finish_s = (
+            responses.stream_deadline_s(request, deadline_s)
+            if route.is_download
+            else deadline_s
+        )
         while True:
             requirements = self._build_requirements(
                 request, route, group, state, deadline_s
             )
             if deadline_s <= loop.time():
                 return self._answers.answer_timeout(request, route, state)
-            reply: asyncio.Future[messages.PlacementReply] = (
-                loop.create_future()
-            )
-            self._inbox.post(messages.PlaceRequest(requirements, reply))
+            if not self._send_limits.allows(finish_s, loop.time()):
+                return self._answers.answer_stopping(request, route, state)
+            wait = self._send_limits.begin_wait(finish_s)
             try:
-                placement = await reply
+                async with wait:
+                    placement = await self._find_server(requirements)
+            except TimeoutError:
+                return self._answers.answer_stopping(request, route, state)
             finally:
-                self._release_abandoned(reply, requirements)
+                self._send_limits.end_wait(wait)
             match placement:
                 case messages.NotPlaced():
                     return self._answers.answer_not_placed(
@@ -114,12 +129,12 @@
                     )
                     served_by = placement.vm.name
                 case messages.Placement():
-                    if not await self._acquire_permit(requirements, placement):
-                        continue
                     step = await self._run_attempt(
                         request, route, requirements, placement, state
                     )
                     served_by = placement.server.name
+                case None:
+                    continue
                 case _:
                     typing.assert_never(placement)
             answer = self._take_step(request, route, step, served_by)
@@ -304,6 +319,34 @@
             deadline_s=deadline_s,
         )
 
+    async def _find_server(
+        self, requirements: messages.ServerRequirements
+    ) -> messages.PlacementReply | None:
+        """Waits for a server, and for a permit if the server is limited.
+
+        Returns:
+            The placement, another gateway or why there is neither; None if the
+            permit was denied.
+        """
+        reply: asyncio.Future[messages.PlacementReply] = (
+            asyncio.get_running_loop().create_future()
+        )
+        self._inbox.post(messages.PlaceRequest(requirements, reply))
+        try:
+            placement = await reply
+        finally:
+            self._release_abandoned(reply, requirements)
+        match placement:
+            case messages.NotPlaced() | messages.Forward():
+                return placement
+            case messages.Placement():
+                is_permitted = await self._acquire_permit(
+                    requirements, placement
+                )
+                return placement if is_permitted else None
+            case _:
+                typing.assert_never(placement)
+
     async def _acquire_permit(
         self,
         requirements: messages.ServerRequirements,
--- a/berylweir/gateway/ingress/task.py
+++ b/berylweir/gateway/ingress/task.py
@@ -6,6 +6,7 @@
 
 from berylweir.gateway import models
 from berylweir.gateway.exchange import handler
+from berylweir.gateway.exchange import stopping
 from berylweir.gateway.forwarding import codec
 from berylweir.gateway.ingress import protocol
 from berylweir.observability import counters
@@ -16,9 +17,11 @@
 _LISTEN_BACKLOG = 1024
 # Interval of the checks for idle connections and slow requests, in seconds.
 _TIMEOUT_CHECK_INTERVAL_S = 1.0
-# Time after SIGTERM in which the load balancer stops using the VM, in seconds.
-# It checks readiness once per second and removes a VM after two failed checks.
-_BALANCER_REMOVAL_S = 3.0
+# Time after SIGTERM in which new connections and all requests are accepted, in
+# seconds. The load balancer checks readiness once per second and removes a VM
+# after two failed checks. The platform expects that requests of the first 3 s
+# are served; it counts from its signal, which may be handled a little later.
+_ACCEPT_S = 2.8
 # Interval at which idle connections are closed during shutdown, in seconds.
 _IDLE_CLOSE_INTERVAL_S = 0.1
 # Time reserved at the end of the grace period before SIGKILL, in seconds.
@@ -64,7 +67,8 @@
 class Ingress:
     """Owns a listening socket and the connections that it accepts.
 
-    On shutdown it drains the connections without interrupting requests.
+    On shutdown it drains the connections without interrupting requests, and
+    refuses those that come too late.
     """
 
     def __init__(
@@ -180,9 +184,13 @@
         loop = asyncio.get_running_loop()
         started_s = loop.time()
         deadline_s = started_s + self._bounds.grace_s - _SHUTDOWN_MARGIN_S
+        accept_s = min(_ACCEPT_S, deadline_s - started_s)
+        self._request_handler.begin_stop(
+            stopping.Stopping(started_s + accept_s, deadline_s)
+        )
         for connection in tuple(self._connections):
             connection.announce_close()
-        await asyncio.sleep(min(_BALANCER_REMOVAL_S, deadline_s - started_s))
+        await asyncio.sleep(accept_s)
         # If too many VMs of the zone fail their checks, the load balancer keeps
         # using all of them. A refused connection makes callers connect to
         # another VM.
--- a/tests/gateway/rig.py
+++ b/tests/gateway/rig.py
@@ -57,6 +57,18 @@
             await asyncio.sleep(0.01)
 
 
+async def is_ready(address: tuple[str, int]) -> bool:
+    """Returns the result of a readiness check at an address."""
+    try:
+        reader, writer = await asyncio.open_connection(*address)
+    except OSError:
+        return False
+    writer.write(b"GET /berylweir/readyz HTTP/1.1\r\nHost: x\r\n\r\n")
+    line = await reader.readline()
+    writer.close()
+    return b" 200 " in line
+
+
 async def publish_table(gateway: "Gateway", table: dict) -> None:
     """Publishes a key table to a gateway, as the lease holder does."""
     client = peer_task.PeerClient(counters.Counters())
@@ -198,16 +210,7 @@
 
     async def is_ready(self) -> bool:
         """Returns the result of the load balancer's readiness check."""
-        try:
-            reader, writer = await asyncio.open_connection(
-                *self.environment.ready_address
-            )
-        except OSError:
-            return False
-        writer.write(b"GET /berylweir/readyz HTTP/1.1\r\nHost: x\r\n\r\n")
-        line = await reader.readline()
-        writer.close()
-        return b" 200 " in line
+        return await is_ready(self.environment.ready_address)
 
 
 class Rig:
--- /dev/null
+++ b/tests/gateway/test_stop.py
@@ -0,0 +1,330 @@
+"""Tests of requests that are late in the grace period of a planned stop."""
+
+import asyncio
+import contextlib
+import os
+import signal
+import sys
+
+import pytest
+
+from berylweir.gateway import messages
+from berylweir.gateway import models
+from berylweir.gateway.dispatch import task as dispatch
+from berylweir.gateway.exchange import handler
+from berylweir.gateway.exchange import models as exchange
+from berylweir.gateway.exchange import stopping
+from berylweir.gateway.permits import task as permits
+from berylweir.observability import counters
+from berylweir.platform import requests
+from berylweir.platform import settings
+from berylweir.standin.gateway_platform import http
+from tests.gateway import rig
+
+# Callers and routes that wait beyond the end of the grace period.
+_LONG_TIMEOUT_MS = 20_000
+# Time after the signal when requests are late, in seconds.
+_LATE_S = 3.2
+
+
+@contextlib.asynccontextmanager
+async def start_deployment(*, service_s: float, is_keyed=False, **options):
+    """Starts a gateway and, for a group without keys, two servers."""
+    async with rig.Rig() as deployment:
+        await deployment.configure(
+            {"books": is_keyed}, [rig.route("r", "books", **options)]
+        )
+        if not is_keyed:
+            for name in ("s0", "s1"):
+                await deployment.add_server(name, "books", service_s=service_s)
+        yield deployment, await deployment.add_gateway()
+
+
+def run_ids(deployment: rig.Rig) -> list[str]:
+    """Returns the request ids of all runs on all servers."""
+    return [
+        r.request_id for s in deployment.servers.values() for r in s.executions
+    ]
+
+
+def assert_refused(reply: rig.Reply | None) -> None:
+    """Asserts that a caller was sent to another VM at once."""
+    assert reply is not None
+    assert (reply.status, reply.is_whole) == (503, True)
+    assert float(reply.headers["retry-after"]) < 1.0
+    assert reply.headers["connection"] == "close"
+
+
+class TestLateRequests:
+    """Requests that can't be finished before the grace period ends."""
+
+    async def test_upload_that_ends_late_is_not_cut_off(self, tmp_path):
+        """Guards against losing a request that may not be repeated.
+
+        The body of the request ends late in the grace period of a real
+        process, and the server needs more time than is left.
+        """
+        async with start_deployment(
+            service_s=4.0, kind="unsafe", timeout_ms=_LONG_TIMEOUT_MS
+        ) as (deployment, _):
+            async with start_program(deployment, tmp_path) as (port, process):
+                reader, writer = await asyncio.open_connection(
+                    "127.0.0.1", port
+                )
+                caller = rig.Caller(reader, writer)
+                caller.send(
+                    "/r/1",
+                    "a1",
+                    method="POST",
+                    deadline_ms=_LONG_TIMEOUT_MS,
+                    headers="Content-Length: 2\r\n",
+                )
+                await asyncio.sleep(0.2)
+                process.send_signal(signal.SIGTERM)
+                await asyncio.sleep(_LATE_S / 2)
+                writer.write(b"x")
+                await asyncio.sleep(_LATE_S / 2)
+                writer.write(b"y")
+                reply = await caller.read()
+                assert await process.wait() == 0
+            assert reply is not None, run_ids(deployment)
+            assert_refused(reply)
+            assert run_ids(deployment) == []
+
+    async def test_upload_that_ends_late_is_served_if_it_ends_in_time(self):
+        """Guards against refusing requests for which there is time."""
+        async with start_deployment(
+            service_s=0.1, kind="unsafe", timeout_ms=5000
+        ) as (_, gateway):
+            caller = await gateway.connect()
+            caller.send(
+                "/r/1",
+                "a1",
+                method="POST",
+                deadline_ms=4500,
+                headers="Content-Length: 2\r\n",
+            )
+            await asyncio.sleep(0.2)
+            stop_task = asyncio.create_task(gateway.stop())
+            for part in (b"x", b"y"):
+                await asyncio.sleep(_LATE_S / 2)
+                caller.writer.write(part)
+            assert (await caller.read()).status == 200
+            await stop_task
+
+    async def test_request_behind_a_long_download_is_not_sent(self):
+        """Guards against starting a queued request late.
+
+        The response in front of it began before the stop, so it doesn't tell
+        the caller that the connection closes.
+        """
+        async with start_deployment(
+            service_s=0.0, kind="unsafe", timeout_ms=_LONG_TIMEOUT_MS
+        ) as (deployment, gateway):
+            body = bytes(48_000_000)
+            deployment.servers["s0"].next_responses.append(
+                http.Response(200, {"Response-Seal": "x"}, body)
+            )
+            deployment.servers["s1"].next_responses.append(
+                http.Response(200, {"Response-Seal": "x"}, body)
+            )
+            caller = await gateway.connect()
+            caller.send(
+                "/r/1", "a1", method="POST", deadline_ms=_LONG_TIMEOUT_MS
+            )
+            await rig.until(lambda: run_ids(deployment) == ["a1"])
+            await asyncio.sleep(0.5)
+            stop_task = asyncio.create_task(gateway.stop())
+            await asyncio.sleep(0.1)
+            caller.send(
+                "/r/2", "a2", method="POST", deadline_ms=_LONG_TIMEOUT_MS
+            )
+            await asyncio.sleep(_LATE_S)
+            download = await caller.read()
+            assert (download.status, download.is_whole) == (200, True)
+            assert_refused(await caller.read())
+            assert run_ids(deployment) == ["a1"]
+            await stop_task
+
+    async def test_request_without_an_owner_does_not_wait_to_the_end(self):
+        """Guards against a wait that outlasts the grace period."""
+        async with start_deployment(
+            service_s=0.0,
+            is_keyed=True,
+            timeout_ms=_LONG_TIMEOUT_MS,
+            goal_ms=_LONG_TIMEOUT_MS,
+        ) as (_, gateway):
+            caller = await gateway.connect()
+            caller.send(
+                "/r/1",
+                "a1",
+                deadline_ms=_LONG_TIMEOUT_MS,
+                headers="Shard-Key: 7\r\n",
+            )
+            await asyncio.sleep(0.1)
+            stop_task = asyncio.create_task(gateway.stop())
+            read_task = asyncio.create_task(caller.read())
+            await asyncio.wait(
+                (stop_task, read_task), return_when=asyncio.FIRST_COMPLETED
+            )
+            assert not stop_task.done()
+            assert_refused(await read_task)
+            await stop_task
+
+    async def test_request_is_not_sent_once_more_late(self):
+        """Guards against a retry that the end of the process cuts off."""
+        async with start_deployment(
+            service_s=_LATE_S, kind="unsafe", timeout_ms=_LONG_TIMEOUT_MS
+        ) as (deployment, gateway):
+            for server in deployment.servers.values():
+                server.next_responses.append(
+                    http.Response(503, {"Not-Run": "1", "Request-Id": "a1"})
+                )
+            caller = await gateway.connect()
+            caller.send(
+                "/r/1", "a1", method="POST", deadline_ms=_LONG_TIMEOUT_MS
+            )
+            await rig.until(lambda: run_ids(deployment) == ["a1"])
+            stop_task = asyncio.create_task(gateway.stop())
+            assert_refused(await caller.read())
+            assert run_ids(deployment) == ["a1"]
+            await stop_task
+
+
+@contextlib.asynccontextmanager
+async def start_program(deployment: rig.Rig, directory):
+    """Starts the gateway program; yields its port for callers and itself."""
+    front, ready, peer, metrics = (rig.free_port() for _ in range(4))
+    async with contextlib.AsyncExitStack() as stack:
+        store = await http.listen(stack, deployment.store.handle)
+        settings_file = directory / "settings.toml"
+        settings_file.write_text(
+            'node = "vm-2"\nip = "127.0.0.1"\nzone = "a"\n'
+            f"portRange = [{peer}, {peer}]\n"
+            f'listen = {{ front = "127.0.0.1:{front}", '
+            f'ready = "127.0.0.1:{ready}" }}\n'
+            f'infra = {{ addr = "127.0.0.1:{store}" }}\n'
+        )
+        process = await asyncio.create_subprocess_exec(
+            sys.executable,
+            "-m",
+            "berylweir.gateway.program",
+            "--metrics-port",
+            str(metrics),
+            stdout=asyncio.subprocess.DEVNULL,
+            env=os.environ
+            | {settings.SETTINGS_PATH_VARIABLE: str(settings_file)},
+        )
+        try:
+            await rig.until(lambda: rig.is_ready(("127.0.0.1", ready)))
+            yield front, process
+        finally:
+            if process.returncode is None:
+                process.kill()
+            await process.wait()
+
+
+class HandlerHarness:
+    """A handler of requests whose other tasks are played by the test."""
+
+    def __init__(self, *, kind: str, timeout_ms: float) -> None:
+        self.inbox = dispatch.create_inbox()
+        self.permits_inbox = permits.create_inbox()
+        self.handler = handler.RequestHandler(
+            self.inbox, self.permits_inbox, counters.Counters()
+        )
+        route = models.Route(
+            "r",
+            rig.HOST,
+            "/r/",
+            models.Idempotency.NON_IDEMPOTENT,
+            is_download=kind == "download",
+            timeout_ms=timeout_ms,
+            goal_ms=timeout_ms,
+            priority=1,
+            max_servers=2,
+            shares=(models.Share("books", 1.0),),
+        )
+        self.handler.configure(
+            models.Configuration("1", 1, (route,), {}, models.CallerLimits())
+        )
+
+    def begin_stop(self, *, accepts_s: float, ends_s: float) -> None:
+        """Begins a stop whose times are given from now on, in seconds."""
+        now_s = asyncio.get_running_loop().time()
+        self.handler.begin_stop(
+            stopping.Stopping(now_s + accepts_s, now_s + ends_s)
+        )
+
+    def handle(self, deadline_ms: float) -> "asyncio.Task[exchange.Answer]":
+        """Begins to handle a request that has just arrived."""
+        loop = asyncio.get_running_loop()
+        head = requests.decode_request(
+            "POST",
+            b"/r/1",
+            [
+                (b"host", rig.HOST.encode()),
+                (b"deadline-ms", b"%d" % deadline_ms),
+            ],
+        )
+        request = exchange.CallerRequest(head, b"", loop.time())
+        return loop.create_task(self.handler.handle(request))
+
+
+class TestWaits:
+    """Waits of requests in the gateway when it stops."""
+
+    @pytest.mark.parametrize("is_stopping", [False, True])
+    async def test_wait_for_a_server_ends(self, is_stopping):
+        """Guards against a wait that began before the stop, or in it."""
+        harness = HandlerHarness(kind="unsafe", timeout_ms=9000.0)
+        if is_stopping:
+            harness.begin_stop(accepts_s=0.1, ends_s=5.0)
+        answer_task = harness.handle(9000.0)
+        place_request = await harness.inbox.get()
+        if not is_stopping:
+            harness.begin_stop(accepts_s=0.1, ends_s=5.0)
+        answer = await answer_task
+        assert answer.status == 503
+        assert place_request.reply.cancelled()
+
+    async def test_wait_for_a_permit_ends(self):
+        """Guards against sending a request once a late permit allows it."""
+        harness = HandlerHarness(kind="unsafe", timeout_ms=9000.0)
+        answer_task = harness.handle(9000.0)
+        place_request = await harness.inbox.get()
+        server = models.BackendServer(
+            "s0", 1, "books", "127.0.0.1", 1, "a", 3, False, 0.0, 1
+        )
+        now_s = asyncio.get_running_loop().time()
+        place_request.reply.set_result(
+            messages.Placement(server, None, now_s, 0.0, limit=1.0)
+        )
+        acquire = await harness.permits_inbox.get()
+        acquire.reply.set_result(messages.PermitGranted(now_s + 3.0))
+        harness.begin_stop(accepts_s=0.1, ends_s=5.0)
+        assert (await answer_task).status == 503
+        returned = await harness.inbox.get()
+        assert isinstance(returned, messages.PlacementReturned)
+
+    async def test_late_request_is_refused_at_once(self):
+        """Guards against asking for a server when it is too late."""
+        harness = HandlerHarness(kind="unsafe", timeout_ms=9000.0)
+        harness.begin_stop(accepts_s=0.0, ends_s=5.0)
+        assert (await harness.handle(9000.0)).status == 503
+        assert len(harness.inbox) == 0
+
+    async def test_late_request_that_ends_in_time_is_sent(self):
+        """Guards against refusing what the time left is enough for."""
+        harness = HandlerHarness(kind="unsafe", timeout_ms=9000.0)
+        harness.begin_stop(accepts_s=0.0, ends_s=5.0)
+        answer_task = harness.handle(4000.0)
+        place_request = await harness.inbox.get()
+        assert isinstance(place_request, messages.PlaceRequest)
+        answer_task.cancel()
+
+    async def test_late_download_may_last_as_long_as_its_caller_waits(self):
+        """Guards against a download that the end of the process cuts off."""
+        harness = HandlerHarness(kind="download", timeout_ms=1000.0)
+        harness.begin_stop(accepts_s=0.0, ends_s=5.0)
+        assert (await harness.handle(9000.0)).status == 503
