Cut gateways off from all servers in the soak

The soak had no fault that separates a gateway from all servers while callers, the store and the other gateways still reach it.

Data is held back, all connections are reset, or only new connections are reset while open ones live on. Isolations overlap each other and all other faults. They are drawn from a seed stream of their own, so that the other faults of a seed stay the same; a test checks this.

All servers' proxies are shared by the gateways, which connect from the same address. The proxy finds the gateway of a connection by its socket, among the descriptors of the gateways' processes; only with the new option. Data that is held back now waits for the end of the faults of its own gateway, which without the option is the same as before.

The promises are checked as before. The summary also says how many requests were served at isolated gateways, from 3 s after the isolation began, and at the others at the same times. It is no violation yet: `--check-isolated` makes it one if the share is under two thirds of that at the others.

--- a/Makefile
+++ b/Makefile
@@ -52,7 +52,7 @@
 
 soak-programs: $(STAMP)
 	$(BIN)/berylweir-soak --seed $(or $(SEED),1) --seconds $(or $(SECONDS),40) \
-	  --vms $(or $(VMS),3)
+	  --vms $(or $(VMS),3) $(if $(ISOLATION),--isolation)
 
 history: $(STAMP)
 	$(BIN)/python -m berylweir.history.program \
--- a/berylweir/soak/fault_schedule.py
+++ b/berylweir/soak/fault_schedule.py
@@ -12,13 +12,34 @@
 _MAX_STATEMENT_DURATION_S = 12.0
 # Longest duration of a fault; some have to outlast a grant of 2.5 s.
 _MAX_FAULT_DURATION_S = 3.5
+# Longest time between the starts of two isolations, and their durations.
+_MAX_ISOLATION_PAUSE_S = 10.0
+_MIN_ISOLATION_DURATION_S = 3.5
+_MAX_ISOLATION_DURATION_S = 8.0
+# Faults of the links to the store and to single servers.
+_LINK_FAULTS = (
+    models.LinkFault.DELAY,
+    models.LinkFault.RESET,
+    models.LinkFault.ONE_WAY,
+    models.LinkFault.SILENT,
+)
+_ISOLATION_FAULTS = (
+    models.LinkFault.SILENT,
+    models.LinkFault.RESET,
+    models.LinkFault.REFUSE_NEW,
+)
 # Time without new faults at the start, in which all servers register, and at
 # the end, in which all faults end.
 FAULT_FREE_MARGIN_S = 4.0
 
 
 def generate(
-    seed: int, seconds: float, vms: int, servers: int
+    seed: int,
+    seconds: float,
+    vms: int,
+    servers: int,
+    *,
+    has_isolations: bool = False,
 ) -> list[models.ScheduledFault]:
     """Returns the faults of a soak, ordered by start time.
 
@@ -27,6 +48,8 @@
         seconds: Length of the soak, in seconds.
         vms: Number of gateways.
         servers: Number of backend servers.
+        has_isolations: Whether gateways are cut off from all servers as well.
+            The other faults are the same with and without.
     """
     rng = random.Random(seed)
     scheduled_faults = []
@@ -44,13 +67,38 @@
         fault = _random_statement(statement_rng, servers)
         scheduled_faults.append(models.ScheduledFault(start_s, fault))
         start_s += statement_rng.uniform(0.0, _MAX_STATEMENT_PAUSE_S)
+    if has_isolations:
+        scheduled_faults += _generate_isolations(seed, seconds, vms)
     return sorted(scheduled_faults, key=lambda scheduled: scheduled.start_s)
 
 
+def _generate_isolations(
+    seed: int, seconds: float, vms: int
+) -> list[models.ScheduledFault]:
+    """Returns isolations of one gateway, or of most of them at once."""
+    rng = random.Random(f"{seed}/isolations")
+    scheduled_faults = []
+    start_s = FAULT_FREE_MARGIN_S
+    while start_s < seconds - FAULT_FREE_MARGIN_S:
+        majority = rng.randint(min(vms // 2 + 1, vms - 1), vms - 1)
+        count = rng.choice((1, max(1, majority)))
+        duration_s = rng.uniform(
+            _MIN_ISOLATION_DURATION_S, _MAX_ISOLATION_DURATION_S
+        )
+        fault = models.Isolate(
+            tuple(sorted(rng.sample(range(vms), count))),
+            rng.choice(_ISOLATION_FAULTS),
+            min(duration_s, seconds - start_s),
+        )
+        scheduled_faults.append(models.ScheduledFault(start_s, fault))
+        start_s += rng.uniform(0.0, _MAX_ISOLATION_PAUSE_S)
+    return scheduled_faults
+
+
 def _random_fault(rng: random.Random, vms: int, servers: int) -> models.Fault:
     vm = rng.randrange(vms)
     server = rng.randrange(servers)
-    link_fault = rng.choice(list(models.LinkFault))
+    link_fault = rng.choice(_LINK_FAULTS)
     duration_s = rng.uniform(0.1, _MAX_FAULT_DURATION_S)
     candidates: list[models.Fault] = [
         models.Kill(vm, rng.uniform(0.0, 1.0)),
--- a/berylweir/soak/models.py
+++ b/berylweir/soak/models.py
@@ -11,6 +11,7 @@
     RESET = "reset"  # Connections are reset, and new ones as well.
     ONE_WAY = "one_way"  # Requests arrive, but responses are held back.
     SILENT = "silent"  # Data is held back in both directions.
+    REFUSE_NEW = "refuse_new"  # Only new connections are reset.
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -158,6 +159,23 @@
     away_s: float
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Isolate:
+    """Injects a fault between gateways and all backend servers.
+
+    The gateways can still be reached by callers, the store and each other.
+
+    Attributes:
+        vms: Numbers of the affected gateways' VMs.
+        link_fault: Fault to inject.
+        duration_s: How long it lasts, in seconds.
+    """
+
+    vms: tuple[int, ...]
+    link_fault: LinkFault
+    duration_s: float
+
+
 Fault = (
     Kill
     | Stop
@@ -172,6 +190,7 @@
     | PauseServer
     | ReplaceServer
     | RestoreStore
+    | Isolate
 )
 
 
@@ -233,6 +252,23 @@
     end_s: float
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Isolation:
+    """A time in which a gateway was cut off from all backend servers.
+
+    Times are in seconds from the start of the soak.
+
+    Attributes:
+        vm: Number of the gateway's VM.
+        start_s: Start of the fault.
+        end_s: End of the fault.
+    """
+
+    vm: int
+    start_s: float
+    end_s: float
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class PlannedStop:
     """A gateway instance that was asked to end, and did.
--- a/berylweir/soak/program.py
+++ b/berylweir/soak/program.py
@@ -18,6 +18,8 @@
     seconds: float = 40.0,
     logs: str = "",
     vms: int = runner.DEFAULT_VMS,
+    isolation: bool = False,
+    check_isolated: bool = False,
 ) -> None:
     """Runs one soak of the gateway programs and prints the violations.
 
@@ -28,16 +30,28 @@
         seconds: Length of the soak, in seconds.
         logs: Directory for settings and logs; a temporary one if empty.
         vms: Number of gateways, each a process of its own.
+        isolation: Also cut gateways off from all servers, while callers, the
+            store and the other gateways reach them.
+        check_isolated: Whether it is a violation if they then serve too few
+            requests.
     """
     logging.basicConfig(level=logging.INFO, format="%(message)s")
     with tempfile.TemporaryDirectory() as temporary:
         directory = pathlib.Path(logs or temporary)
         directory.mkdir(parents=True, exist_ok=True)
-        violations = asyncio.run(
-            _run_soak(runner.Soak(seed, seconds, directory, vms))
+        soak_run = runner.Soak(
+            seed,
+            seconds,
+            directory,
+            vms,
+            has_isolations=isolation,
+            checks_isolated=check_isolated,
         )
+        violations = asyncio.run(_run_soak(soak_run))
     for violation in violations:
         print(violation)
+    if isolation:
+        print(f"seed {seed}: {soak_run.isolated_counts}")
     print(f"seed {seed}: {len(violations)} broken")
     if violations:
         sys.exit(1)
--- a/berylweir/soak/proxy.py
+++ b/berylweir/soak/proxy.py
@@ -1,7 +1,10 @@
 """TCP proxy on loopback that injects network faults."""
 
 import asyncio
+from collections.abc import Callable
+from collections.abc import Container
 import contextlib
+import dataclasses
 import socket
 import struct
 
@@ -14,20 +17,38 @@
 _RESET_ON_CLOSE = struct.pack("ii", 1, 0)
 
 
+# Finds the VM that has opened a connection, by the proxy's port and the VM's.
+FindVm = Callable[[int, int], int | None]
+
+
+@dataclasses.dataclass(frozen=True, slots=True, eq=False)
+class _ActiveFault:
+    link_fault: models.LinkFault
+    vms: Container[int] | None
+
+    def affects(self, vm: int | None) -> bool:
+        """Returns whether it affects the connections of a VM."""
+        return self.vms is None or (vm is not None and vm in self.vms)
+
+
 class FaultProxy:
     """Forwards connections to one port, with the faults that are active."""
 
-    def __init__(self, port: int) -> None:
+    def __init__(
+        self, port: int, find_vm: FindVm = lambda local, remote: None
+    ) -> None:
         """Creates a proxy that doesn't listen yet.
 
         Args:
             port: TCP port on loopback to forward connections to.
+            find_vm: Finds the VM that has opened a connection.
         """
         self._target_port = port
-        self._active_faults: list[models.LinkFault] = []
-        self._writers: set[asyncio.StreamWriter] = set()
-        self._no_faults_event = asyncio.Event()
-        self._no_faults_event.set()
+        self._find_vm = find_vm
+        self._active_faults: list[_ActiveFault] = []
+        # The sockets of both sides of each connection, with its VM.
+        self._writers: dict[asyncio.StreamWriter, int | None] = {}
+        self._fault_end_event = asyncio.Event()
 
     async def listen(self, stack: contextlib.AsyncExitStack) -> int:
         """Listens until `stack` closes; returns the TCP port to connect to."""
@@ -39,44 +60,58 @@
         address: tuple[str, int] = server.sockets[0].getsockname()
         return address[1]
 
-    async def inject(self, fault: models.LinkFault, duration_s: float) -> None:
+    async def inject(
+        self,
+        link_fault: models.LinkFault,
+        duration_s: float,
+        vms: Container[int] | None = None,
+    ) -> None:
         """Keeps a fault active for a time.
 
         Several faults may be active at the same time.
 
         Args:
-            fault: Fault to inject.
+            link_fault: Fault to inject.
             duration_s: How long it is active, in seconds.
+            vms: VMs whose connections it affects; None for all connections.
         """
+        fault = _ActiveFault(link_fault, vms)
         self._active_faults.append(fault)
-        self._no_faults_event.clear()
-        if fault is models.LinkFault.RESET:
-            self._reset_connections()
+        if link_fault is models.LinkFault.RESET:
+            for writer, vm in tuple(self._writers.items()):
+                if fault.affects(vm):
+                    self._reset_connection(writer)
         try:
             await asyncio.sleep(duration_s)
         finally:
             self._active_faults.remove(fault)
-            if not self._active_faults:
-                self._no_faults_event.set()
+            self._fault_end_event.set()
+            self._fault_end_event = asyncio.Event()
 
     async def _handle_connection(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
-        self._writers.add(writer)
+        self._writers[writer] = None
         try:
-            if models.LinkFault.RESET in self._active_faults:
+            vm = self._find_peer(writer)
+            self._writers[writer] = vm
+            if self._is_active(
+                vm, models.LinkFault.RESET, models.LinkFault.REFUSE_NEW
+            ):
                 return
             upstream = await asyncio.open_connection(
                 "127.0.0.1", self._target_port
             )
-            self._writers.add(upstream[1])
+            self._writers[upstream[1]] = vm
             try:
                 async with asyncio.TaskGroup() as group:
                     group.create_task(
-                        self._forward(reader, upstream[1], is_response=False)
+                        self._forward(
+                            reader, upstream[1], vm, is_response=False
+                        )
                     )
                     group.create_task(
-                        self._forward(upstream[0], writer, is_response=True)
+                        self._forward(upstream[0], writer, vm, is_response=True)
                     )
             finally:
                 self._reset_connection(upstream[1])
@@ -85,10 +120,19 @@
         finally:
             self._reset_connection(writer)
 
+    def _find_peer(self, writer: asyncio.StreamWriter) -> int | None:
+        """Returns the VM that has opened a connection, if that is known."""
+        local_address = writer.get_extra_info("sockname")
+        peer_address = writer.get_extra_info("peername")
+        if peer_address is None:
+            return None  # The connection was reset already.
+        return self._find_vm(local_address[1], peer_address[1])
+
     async def _forward(
         self,
         reader: asyncio.StreamReader,
         writer: asyncio.StreamWriter,
+        vm: int | None,
         *,
         is_response: bool,
     ) -> None:
@@ -101,24 +145,34 @@
                 the other direction and both sockets are closed.
         """
         while data := await reader.read(_READ_BYTES):
-            await self._apply_faults(is_response=is_response)
+            await self._apply_faults(vm, is_response=is_response)
             if reader.exception() is not None:
                 break  # Its sender has reset the connection meanwhile.
             writer.write(data)
             await writer.drain()
         raise ConnectionResetError
 
-    async def _apply_faults(self, *, is_response: bool) -> None:
+    async def _apply_faults(self, vm: int | None, *, is_response: bool) -> None:
         """Waits while data is delayed or held back.
 
-        Data that is held back waits until no fault of any kind is active.
+        Data that is held back waits until no fault of any kind affects the VM.
         """
-        if models.LinkFault.DELAY in self._active_faults:
+        if self._is_active(vm, models.LinkFault.DELAY):
             await asyncio.sleep(_CHUNK_DELAY_S)
-        while models.LinkFault.SILENT in self._active_faults or (
-            is_response and models.LinkFault.ONE_WAY in self._active_faults
+        while self._is_active(vm, models.LinkFault.SILENT) or (
+            is_response and self._is_active(vm, models.LinkFault.ONE_WAY)
         ):
-            await self._no_faults_event.wait()
+            while any(fault.affects(vm) for fault in self._active_faults):
+                await self._fault_end_event.wait()
+
+    def _is_active(
+        self, vm: int | None, *link_faults: models.LinkFault
+    ) -> bool:
+        """Returns whether one of some faults affects a VM's connections."""
+        return any(
+            fault.link_fault in link_faults and fault.affects(vm)
+            for fault in self._active_faults
+        )
 
     def _reset_connections(self) -> None:
         for writer in tuple(self._writers):
@@ -128,7 +182,7 @@
         """Closes a connection with a reset, unless that is done already."""
         if writer not in self._writers:
             return
-        self._writers.discard(writer)
+        del self._writers[writer]
         raw_socket = writer.get_extra_info("socket")
         if raw_socket is not None and raw_socket.fileno() >= 0:
             raw_socket.setsockopt(
--- a/berylweir/soak/runner.py
+++ b/berylweir/soak/runner.py
@@ -14,7 +14,9 @@
 from berylweir.soak import checks
 from berylweir.soak import fault_schedule
 from berylweir.soak import gateways
+from berylweir.soak import isolation_checks
 from berylweir.soak import models
+from berylweir.soak import origins
 from berylweir.soak import proxy
 from berylweir.soak import statement_checks
 from berylweir.standin.gateway_platform import caller
@@ -55,6 +57,9 @@
         seconds: float,
         directory: pathlib.Path,
         vms: int = DEFAULT_VMS,
+        *,
+        has_isolations: bool = False,
+        checks_isolated: bool = False,
     ) -> None:
         """Creates a soak that has not started.
 
@@ -63,8 +68,15 @@
             seconds: Its length, in seconds.
             directory: Directory for the gateways' settings and logs.
             vms: Number of gateways.
+            has_isolations: Whether gateways are cut off from all servers.
+            checks_isolated: Whether it is a violation if isolated gateways
+                serve too few requests.
         """
         self._vms = vms
+        self._has_isolations = has_isolations
+        self._checks_isolated = checks_isolated
+        self._isolations: list[models.Isolation] = []
+        self._isolated_counts = isolation_checks.ServedCounts()
         self._seed = seed
         self._seconds = seconds
         self._directory = directory
@@ -87,6 +99,11 @@
         self._configuration_version = 0
         self._started_s = time.monotonic()
 
+    @property
+    def isolated_counts(self) -> isolation_checks.ServedCounts:
+        """Requests that isolated gateways have served, after `run`."""
+        return self._isolated_counts
+
     async def run(self) -> list[str]:
         """Runs the soak; returns a line for each violation of a guarantee."""
         async with contextlib.AsyncExitStack() as stack:
@@ -134,6 +151,13 @@
                 "answered": answered_count,
             },
         )
+        self._isolated_counts = isolation_checks.count_served(
+            exchanges, self._isolations, self._vms
+        )
+        if self._checks_isolated:
+            self._violations += isolation_checks.find_violations(
+                self._isolated_counts
+            )
         if not answered_count:
             self._violations.append("no request was answered")
         return (
@@ -160,7 +184,7 @@
                 f"s{number}", is_keyed=group == "keyed", service_s=_SERVICE_S
             )
             server_proxy = proxy.FaultProxy(
-                await http.listen(stack, server.handle)
+                await http.listen(stack, server.handle), self._find_vm
             )
             self._servers.append(server)
             self._server_proxies.append(server_proxy)
@@ -175,6 +199,14 @@
             self._gateways.append(gateway)
             await gateway.start(stack)
 
+    def _find_vm(self, local_port: int, remote_port: int) -> int | None:
+        """Returns the VM that has opened a connection to a server's proxy."""
+        if not self._has_isolations:
+            return None
+        vms = {gateway.pid: gateway.vm for gateway in self._gateways}
+        process_id = origins.find_process(local_port, remote_port, vms)
+        return vms[process_id] if process_id is not None else None
+
     async def _register_server(self, number: int) -> None:
         group = ("keyed", "plain")[number % 2]
         await self._store.put(
@@ -214,7 +246,11 @@
 
     async def _inject_faults(self) -> None:
         schedule = fault_schedule.generate(
-            self._seed, self._seconds, self._vms, len(self._servers)
+            self._seed,
+            self._seconds,
+            self._vms,
+            len(self._servers),
+            has_isolations=self._has_isolations,
         )
         async with asyncio.TaskGroup() as group:
             for scheduled_fault in schedule:
@@ -269,6 +305,8 @@
                 await self._server_proxies[server].inject(
                     link_fault, duration_s
                 )
+            case models.Isolate():
+                await self._isolate(fault)
             case models.LateWrites(count):
                 self._store.next_faults += count * [
                     store_standin.Fault.APPLY_LATE
@@ -294,6 +332,22 @@
             case _:
                 typing.assert_never(fault)
 
+    async def _isolate(self, fault: models.Isolate) -> None:
+        """Cuts gateways off from all servers for some time."""
+        start_s = time.monotonic() - self._started_s
+        await asyncio.gather(
+            *(
+                server_proxy.inject(
+                    fault.link_fault, fault.duration_s, fault.vms
+                )
+                for server_proxy in self._server_proxies
+            )
+        )
+        end_s = time.monotonic() - self._started_s
+        self._isolations += [
+            models.Isolation(vm, start_s, end_s) for vm in fault.vms
+        ]
+
     async def _make_statement(
         self,
         fault: models.LimitServer | models.PauseServer | models.ReplaceServer,
@@ -436,6 +490,8 @@
             | models.StoreLinkFault(int(vm), _, _)
         ):
             return (vm,)
+        case models.Isolate(vms=isolated_vms):
+            return isolated_vms
         case models.StoreLinkFault(None, _, _) | models.ServerLinkFault():
             return range(vms)
         case _:
--- a/tests/soak/test_proxy.py
+++ b/tests/soak/test_proxy.py
@@ -41,7 +41,10 @@
             injection = asyncio.create_task(fault_proxy.inject(link_fault, 0.3))
             await asyncio.sleep(0.01)
             sent_s = asyncio.get_running_loop().time()
-            if link_fault is models.LinkFault.RESET:
+            if link_fault in (
+                models.LinkFault.RESET,
+                models.LinkFault.REFUSE_NEW,
+            ):
                 with pytest.raises((OSError, asyncio.IncompleteReadError)):
                     await send_request()
             else:
@@ -50,6 +53,63 @@
             await injection
             assert await send_request() == b"whole"
 
+    @pytest.mark.parametrize(
+        "link_fault",
+        [
+            models.LinkFault.SILENT,
+            models.LinkFault.RESET,
+            models.LinkFault.REFUSE_NEW,
+        ],
+    )
+    async def test_faults_affect_the_given_vms(self, link_fault):
+        """Guards against an isolation of gateways that aren't named."""
+        async with contextlib.AsyncExitStack() as stack:
+
+            async def handle(_: http.Request) -> http.Response:
+                return http.Response(200)
+
+            vms: dict[int, int] = {}
+            fault_proxy = proxy.FaultProxy(
+                await http.listen(stack, handle),
+                lambda _, remote_port: vms.get(remote_port),
+            )
+            port = await fault_proxy.listen(stack)
+
+            async def is_answered(sock: socket.socket) -> bool:
+                loop = asyncio.get_running_loop()
+                try:
+                    await loop.sock_sendall(sock, b"GET / HTTP/1.1\r\n\r\n")
+                    async with asyncio.timeout(0.2):
+                        return bool(await loop.sock_recv(sock, 1000))
+                except (OSError, TimeoutError):
+                    return False
+
+            async def connect(vm: int) -> socket.socket:
+                sock = socket.socket()
+                stack.callback(sock.close)
+                sock.bind(("127.0.0.1", 0))
+                vms[sock.getsockname()[1]] = vm
+                sock.setblocking(False)
+                await asyncio.get_running_loop().sock_connect(
+                    sock, ("127.0.0.1", port)
+                )
+                return sock
+
+            open_sockets = [await connect(vm) for vm in (0, 1)]
+            for sock in open_sockets:
+                assert await is_answered(sock)
+            injection = asyncio.create_task(
+                fault_proxy.inject(link_fault, 60.0, (1,))
+            )
+            await asyncio.sleep(0.01)
+            new_sockets = [await connect(vm) for vm in (0, 1)]
+            answered = [
+                await is_answered(s) for s in (*open_sockets, *new_sockets)
+            ]
+            is_open_kept = link_fault is models.LinkFault.REFUSE_NEW
+            assert answered == [True, is_open_kept, True, False]
+            injection.cancel()
+
     async def test_held_up_data_of_a_reset_connection_is_lost(self):
         """Guards against requests that the platform's network doesn't deliver.
 
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -11,6 +11,8 @@
 _SECONDS = 14.0
 # Length of the soaks that check what servers say of themselves, in seconds.
 _STATEMENT_SECONDS = 30.0
+# Seed of a soak in which gateways are cut off from all servers.
+_ISOLATION_SEED = 8
 # Seeds that failed once, each with the cause of its failure.
 _REGRESSIONS = (
     2,  # SIGHUP ended a gateway that had just started.
@@ -42,6 +44,17 @@
         soak = runner.Soak(seed, _STATEMENT_SECONDS, tmp_path)
         assert await soak.run() == []
 
+    async def test_isolated_gateways_keep_the_guarantees(
+        self, tmp_path: pathlib.Path
+    ):
+        """Guards against promises broken by a gateway without servers."""
+        soak = runner.Soak(
+            _ISOLATION_SEED, _SECONDS, tmp_path, has_isolations=True
+        )
+        assert await soak.run() == []
+        assert soak.isolated_counts.isolated_sent > 0
+        assert soak.isolated_counts.other_served > 0
+
 
 class TestFaultSchedule:
     """Schedule of the faults of a soak."""
@@ -55,11 +68,27 @@
             5, 60.0, 3, 8
         ) != fault_schedule.generate(6, 60.0, 3, 8)
 
+    @pytest.mark.parametrize("vms", [1, 2, 3, 24])
+    def test_isolations_do_not_change_the_other_faults(self, vms: int):
+        """Guards against regression seeds that no longer test the same."""
+        with_isolations = fault_schedule.generate(
+            5, 60.0, vms, 8, has_isolations=True
+        )
+        isolations = [
+            s for s in with_isolations if isinstance(s.fault, models.Isolate)
+        ]
+        assert isolations
+        assert fault_schedule.generate(5, 60.0, vms, 8) == [
+            s for s in with_isolations if s not in isolations
+        ]
+
     def test_all_kinds_of_faults_are_generated(self):
         """Guards against a kind of fault that is never injected."""
         kinds = {
             type(scheduled_fault.fault)
             for seed in range(20)
-            for scheduled_fault in fault_schedule.generate(seed, 60.0, 3, 8)
+            for scheduled_fault in fault_schedule.generate(
+                seed, 60.0, 3, 8, has_isolations=True
+            )
         }
         assert kinds == set(models.Fault.__args__)
