Count a home's knowledge of ids from when it got the slice

Cause: a home answers "unknown" to ids created before it became home plus clock_skew_s, since its predecessor may have run them. It counted that from when its VM became home of the backend server. A slice that moves to a server whose home has long been another VM changes its home too, but that home took the ids of the slice's former home for new ones.

Fix: the keeper records when it learned that a server owns a slice, for each slice and token, and passes it to the router with the slice (ServedSlice.since_s). The idempotency table counts from the later of both times. A new owner is written only after the former one has released the slice, and each change of owner raises the token, so no id that another home ran was created after that time plus clock_skew_s.

The tests in tests/keeper and tests/router/admission need the new fields.

Cost: for 1 s after a move, new ids of the slice are answered "unknown".

--- a/berylweir/keeper/grants/decisions.py
+++ b/berylweir/keeper/grants/decisions.py
@@ -23,12 +23,21 @@
 
 
 def apply_partition(
-    state: models.HomeState, partition: schemas.Partition, version: int
+    state: models.HomeState,
+    partition: schemas.Partition,
+    version: int,
+    wall_s: float,
 ) -> models.HomeState:
     """Returns the state with the server's slices in a newer partition object.
 
     A revocation that the server acknowledged is kept only if the slice is
     still moving under the same token.
+
+    Args:
+        state: State before the update.
+        partition: The newer object.
+        version: Its version.
+        wall_s: Wall-clock time now, in seconds.
     """
     owned_slices = []
     moving_slices = []
@@ -47,6 +56,10 @@
         state,
         version=version,
         owned_slices=tuple(owned_slices),
+        # Each change of owner raises the token.
+        owned_since_wall_s={
+            s: state.owned_since_wall_s.get(s, wall_s) for s in owned_slices
+        },
         moving_slices=tuple(moving_slices),
         revoked_slices=frozenset(
             r for r in state.revoked_slices if r in moving_slices
@@ -358,7 +371,10 @@
         state.server.name,
         state.instance,
         valid_until_s,
-        tuple(messages.ServedSlice(s, t) for s, t in served_slices),
+        tuple(
+            messages.ServedSlice(s, t, state.owned_since_wall_s[(s, t)])
+            for s, t in served_slices
+        ),
         state.became_home_wall_s,
         state.version,
         state.last_idle_s,
--- a/berylweir/keeper/grants/homes.py
+++ b/berylweir/keeper/grants/homes.py
@@ -160,7 +160,7 @@
                 home = self._new_home(update, own_servers[name])
             home = dataclasses.replace(home, server=own_servers[name])
             self._homes[name] = decisions.apply_partition(
-                home, partition, update.version
+                home, partition, update.version, time.time()
             )
         self._send_homes()
 
--- a/berylweir/keeper/grants/models.py
+++ b/berylweir/keeper/grants/models.py
@@ -1,5 +1,6 @@
 """State that a home VM keeps about one of its backend servers."""
 
+from collections.abc import Mapping
 import dataclasses
 import math
 
@@ -36,6 +37,8 @@
         became_home_s: When this VM became the server's home.
         became_home_wall_s: The same on the wall clock, in seconds.
         owned_slices: Slices that the server owns, with tokens.
+        owned_since_wall_s: When this VM learned that the server owns them, on
+            the wall clock, in seconds, by slice number and token.
         moving_slices: Slices that are moving to another server, with tokens.
         delegated_until_s: Latest end of any delegation from the partition's
             holder; minus infinity if there was none.
@@ -69,6 +72,9 @@
     became_home_s: float
     became_home_wall_s: float
     owned_slices: tuple[tuple[int, int], ...] = ()
+    owned_since_wall_s: Mapping[tuple[int, int], float] = dataclasses.field(
+        default_factory=dict
+    )
     moving_slices: tuple[tuple[int, int], ...] = ()
     delegated_until_s: float = -math.inf
     clock_reading: ClockReading | None = None
--- a/berylweir/peers/messages.py
+++ b/berylweir/peers/messages.py
@@ -232,10 +232,13 @@
     Attributes:
         slice: Slice number.
         token: Fencing token, sent to the server with each request.
+        since_s: Wall-clock time at which the home learned that the server owns
+            the slice, in seconds. Until then another home may have served it.
     """
 
     slice: int
     token: int
+    since_s: float
 
 
 class HomeServer(msgspec.Struct, frozen=True, array_like=True):
--- a/berylweir/replay/keepers.py
+++ b/berylweir/replay/keepers.py
@@ -321,7 +321,7 @@
             if home is None:
                 home = self._new_home(name, servers[server])
             self._homes[server] = grants.apply_partition(
-                home, partition, state.version
+                home, partition, state.version, self._sim.wall_clock_s
             )
         self._send_homes()
 
--- a/berylweir/replay/routers.py
+++ b/berylweir/replay/routers.py
@@ -358,6 +358,7 @@
                         home.since_s,
                         home.version,
                         home.idle_s,
+                        owned_since_s={s.slice: s.since_s for s in home.slices},
                     )
                 )
         now = self._sim.now
--- a/berylweir/router/admission/decisions.py
+++ b/berylweir/router/admission/decisions.py
@@ -307,7 +307,9 @@
         known = state.idempotency_table.find_repeat(ticket.request_id)
         return known or refusals.RepeatUnknown(ticket.request_id)
     match state.idempotency_table.register(
-        ticket.request_id, server.authority.home_since_s, wall_s
+        ticket.request_id,
+        server.authority.home_of_slice_since_s(ticket.slice),
+        wall_s,
     ):
         case result.Err(repeat):
             return repeat
--- a/berylweir/router/admission/idempotency.py
+++ b/berylweir/router/admission/idempotency.py
@@ -8,8 +8,10 @@
 
 It also stores the floor, a wall-clock time. The outcome of an id that was
 created at or before the floor, or before `clock_skew_s` after this VM became
-home, is reported as unknown, because a request with that id may have run
-without being in the table. An id is only removed by raising the floor to its
+home of the request's slice, is reported as unknown, because a request with that
+id may have run without being in the table. A VM becomes home of a slice when it
+becomes home of the slice's owner, and when the slice moves to a server whose
+home it is already. An id is only removed by raising the floor to its
 creation time. No id that was sent can therefore run again, even if a clock
 jumps in either direction.
 
@@ -114,8 +116,8 @@
 
         Args:
             request_id: Id of the request.
-            home_since_s: Wall-clock time at which this VM became home, in
-                seconds.
+            home_since_s: Wall-clock time at which this VM became home of the
+                request's slice, in seconds.
             wall_s: Wall-clock time now, in seconds.
         """
         match parse_uuid7(request_id):
--- a/berylweir/router/admission/models.py
+++ b/berylweir/router/admission/models.py
@@ -131,6 +131,8 @@
         last_idle_s: When the server last reported no request in flight.
         takes_work: Whether it may get new unkeyed work; false while it or its
             availability zone is leaving service.
+        owned_since_s: Wall-clock time at which the home learned that the server
+            owns a slice, in seconds, for each slice that may be served.
     """
 
     server: str
@@ -141,3 +143,22 @@
     version: int = 0
     last_idle_s: float = 0.0
     takes_work: bool = True
+    owned_since_s: dict[int, float] = dataclasses.field(default_factory=dict)
+
+    def home_of_slice_since_s(self, index: int | None) -> float:
+        """Returns the wall-clock time since which only this home ran a slice.
+
+        Until then another home may have run requests of the slice: a former
+        home of this server, or the home of the slice's former owner.
+
+        Args:
+            index: Slice number, or None in an unkeyed group.
+
+        Returns:
+            The time, in seconds.
+        """
+        if index is None:
+            return self.home_since_s
+        return max(
+            self.home_since_s, self.owned_since_s.get(index, self.home_since_s)
+        )
--- a/berylweir/router/table/task.py
+++ b/berylweir/router/table/task.py
@@ -218,4 +218,5 @@
         granted.version,
         granted.idle_s,
         takes_work=granted.server in usable,
+        owned_since_s={s.slice: s.since_s for s in granted.slices},
     )
--- a/tests/keeper/test_grants.py
+++ b/tests/keeper/test_grants.py
@@ -67,6 +67,7 @@
         home = dataclasses.replace(
             _home_state(),
             owned_slices=((4, 5),),
+            owned_since_wall_s={(4, 5): 0.0},
             moving_slices=(),
             served_slices=frozenset({4}),
         )
@@ -148,10 +149,47 @@
             first_slice=3,
             slices=(schemas.Moving("s-0", "s-1", 6),),
         )
-        home = decisions.apply_partition(home, partition, 6)
+        home = decisions.apply_partition(home, partition, 6, 0.0)
         assert (
             decisions.find_releases(
                 home, 0.1, _TIMINGS, authority.SafetyRules()
             )
             == ()
         )
+
+
+class TestOwnedSlices:
+    """Since when this VM is home of a slice."""
+
+    def test_counts_from_the_last_change_of_the_owner(self):
+        """Guards against a home that claims to know what another one ran."""
+        home = dataclasses.replace(
+            _home_state(), checks_grants=False, moving_slices=()
+        )
+        partition = schemas.Partition(
+            "stock", 0, 1, schemas.Incarnation("vm-0", "0"), None, first_slice=3
+        )
+        since_times_s = []
+        for version, slice_state in enumerate(
+            (
+                schemas.Owned("s-0", 6),
+                schemas.Owned("s-0", 6),
+                schemas.Moving("s-0", "s-1", 8),
+                schemas.Owned("s-1", 9),
+                schemas.Moving("s-1", "s-0", 10),
+                schemas.Owned("s-0", 11),
+                # The versions with another owner were not received.
+                schemas.Owned("s-0", 17),
+            ),
+            start=6,
+        ):
+            home = decisions.apply_partition(
+                home,
+                msgspec.structs.replace(partition, slices=(slice_state,)),
+                version,
+                100.0 + version,
+            )
+            since_times_s += [
+                s.since_s for s in decisions.build_home_server(home).slices
+            ]
+        assert since_times_s == [106.0, 106.0, 111.0, 112.0]
--- a/tests/router/admission/test_admission.py
+++ b/tests/router/admission/test_admission.py
@@ -9,6 +9,7 @@
 from berylweir.refusals import models as refusals
 from berylweir.router.admission import decisions
 from berylweir.router.admission import models
+from tests.router.admission import test_idempotency
 
 _NEVER = float("inf")
 _COMPLETED = models.Ending.COMPLETED
@@ -370,3 +371,45 @@
         for _ in range(5):
             home.submit()
         assert dead not in {s for _, s in home.running.values()}
+
+
+class TestMovedSlice:
+    """Non-idempotent requests of a slice that moved to a server of this home.
+
+    The home of the former owner may have run them, and this VM was home of the
+    new owner before the move.
+    """
+
+    def test_only_ids_from_after_the_move_are_run(self):
+        """Guards against running again what the former owner has run."""
+        home_since_s, moved_s = 1000.0, 1100.0
+        state = decisions.new_state(models.Limits("g", 3))
+        authority = models.Authority(
+            "s0",
+            "x",
+            _NEVER,
+            {0: 1, 1: 7},
+            home_since_s,
+            owned_since_s={0: home_since_s, 1: moved_s},
+        )
+        decisions.set_authorities(state, (authority,), 0.0)
+
+        def submit(number: int, index: int, created_s: float) -> object:
+            request_id = test_idempotency.uuid7(created_s, number)
+            ticket = models.Ticket(
+                number, "s0", index, "a", 4, 9.0, False, request_id, number, 0.0
+            )
+            (decision,) = decisions.submit(state, ticket, 0.0, moved_s + 2.0)
+            match decision:
+                case models.Run():
+                    decisions.finish(state, "s0", ticket, _COMPLETED, 0.0)
+                    return "run"
+                case models.Refuse(refusal=refusal):
+                    return refusal.__class__
+
+        assert [
+            submit(1, 1, moved_s - 2.0),
+            submit(2, 1, moved_s + 1.0),
+            submit(3, 1, moved_s + 1.1),
+            submit(4, 0, moved_s - 2.0),
+        ] == [refusals.RepeatUnknown, refusals.RepeatUnknown, "run", "run"]
