Count gateways as told only by responses that state something

The check was wrong: it counted each arrival as one that told the gateway. It now needs an arrival whose response stated the limit or that the server leaves. From then on all arrivals count, as before, misdirected ones too. Both new tests fail with the former check.

--- a/berylweir/soak/statement_checks.py
+++ b/berylweir/soak/statement_checks.py
@@ -97,7 +97,8 @@
             )
         ):
             counted_s.append(arrival.arrived_s)
-        told_s.setdefault(vm, arrival.arrived_s + _HEARD_AFTER_S)
+        if arrival.has_statements:
+            told_s.setdefault(vm, arrival.arrived_s + _HEARD_AFTER_S)
     allowed = _LIMIT_FACTOR * _LIMIT_WINDOW_S * limit + _LIMIT_SLACK
     most = max(
         (
@@ -127,6 +128,8 @@
             first_s = None
             continue
         if first_s is None:
+            if not arrival.has_statements:
+                continue
             first_s = arrival.arrived_s + _HEARD_AFTER_S
         late_s = arrival.arrived_s - first_s - drain_s
         if late_s > 0 and not _is_disrupted(
--- a/berylweir/standin/gateway_platform/server.py
+++ b/berylweir/standin/gateway_platform/server.py
@@ -53,6 +53,8 @@
         is_leaving: Whether it said then that it is leaving.
         pause_s: Time for which it asked for no requests, in seconds, if it
             rejected this one and asked so.
+        has_statements: Whether its response said any of that. A response that
+            another server should get the request doesn't.
     """
 
     request_id: str
@@ -60,6 +62,7 @@
     limit_per_s: float | None
     is_leaving: bool
     pause_s: float | None
+    has_statements: bool = True
 
 
 class Server:
@@ -194,6 +197,7 @@
                 self.limit_per_s,
                 self.is_leaving,
                 self.rejection_pause_s if is_full else None,
+                has_statements=not is_misdirected,
             )
         )
         if is_misdirected:
--- a/tests/soak/test_statement_checks.py
+++ b/tests/soak/test_statement_checks.py
@@ -17,6 +17,7 @@
         limit: float | None = None,
         is_leaving: bool = False,
         pause_s: float | None = None,
+        has_statements: bool = True,
     ) -> None:
         """Adds arrivals during which the server said the same."""
         for arrived_s in times_s:
@@ -27,6 +28,7 @@
                     limit,
                     is_leaving,
                     pause_s,
+                    has_statements,
                 )
             )
 
@@ -79,3 +81,22 @@
         (violation,) = harness.violations()
         assert "pause" in violation
         assert harness.violations(models.Disruption(0, 1.0, 1.1)) == []
+
+    def test_a_gateway_is_told_by_a_response_that_states_it(self):
+        """Guards against a check that counts misdirected requests as told."""
+        harness = StatementHarness()
+        harness.arrive(0.0, is_leaving=True, has_statements=False)
+        harness.arrive(2.8, is_leaving=True)
+        assert harness.violations() == []
+        # Once it has been told, misdirected requests come too late as well.
+        harness.arrive(5.4, is_leaving=True, has_statements=False)
+        assert len(harness.violations()) == 1
+
+    def test_a_limit_is_told_by_a_response_that_states_it(self):
+        """Guards against a check that counts misdirected requests as told."""
+        harness = StatementHarness()
+        harness.arrive(0.0, limit=1.0, has_statements=False)
+        harness.arrive(*(5.0 + n / 50.0 for n in range(20)), limit=1.0)
+        assert harness.violations() == []
+        harness.arrive(*(6.0 + n / 50.0 for n in range(12)), limit=1.0)
+        assert len(harness.violations()) == 1
