Split the groups and servers from the dispatcher

What the store says of groups and servers, with this VM's state of them, moves to dispatch/deployment.py; the dispatcher keeps the decisions on requests. No behaviour changes: the tests of tests/gateway/dispatch pass unchanged (72 passed).

--- a/berylweir/gateway/dispatch/task.py
+++ b/berylweir/gateway/dispatch/task.py
@@ -12,12 +12,12 @@
 from berylweir.gateway.dispatch import connection_pool
 from berylweir.gateway.dispatch import connectivity
 from berylweir.gateway.dispatch import decisions
+from berylweir.gateway.dispatch import deployment
 from berylweir.gateway.dispatch import key_usage
 from berylweir.gateway.dispatch import leaving
 from berylweir.gateway.dispatch import models as dispatch
 from berylweir.gateway.dispatch import probes
 from berylweir.gateway.dispatch import refusals
-from berylweir.gateway.dispatch import retry_budget
 from berylweir.gateway.dispatch import slow_start
 from berylweir.gateway.dispatch import statement_log
 from berylweir.gateway.forwarding import state as forwarding
@@ -78,10 +78,6 @@
         self._inbox = inbox
         self._metrics = metrics
         self._rng = random.Random(environment.vm)
-        self._groups: dict[str, dispatch.GroupState] = {}
-        self._servers: dict[models.ServerInstance, dispatch.ServerState] = {}
-        self._servers_by_group: dict[str, list[dispatch.ServerState]] = {}
-        self._evacuated_zones: frozenset[str] = frozenset()
         self._vms: Mapping[str, models.Vm] = {}
         self._waiting_requests: list[messages.PlaceRequest] = []
         self._connectivity = connectivity.Connectivity(prober_inbox, metrics)
@@ -93,6 +89,9 @@
         )
         self._statement_log = statement_log.StatementLog(metrics)
         self._leaving = leaving.LeavingInstances()
+        self._deployment = deployment.Deployment(
+            environment.bounds, self._leaving
+        )
         self._slow_start_shares = slow_start.SlowStartShares(
             environment.vm, environment.bounds.cold_slack
         )
@@ -129,7 +128,7 @@
             case messages.ForwardFinished():
                 self._forwarding.finish(message, self._now_s())
             case messages.ResponseOverdue(placement):
-                state = self._servers.get(placement.server.instance)
+                state = self._deployment.servers.get(placement.server.instance)
                 if state is not None:
                     self._connectivity.record_overdue(
                         state, placement.placed_s, self._now_s()
@@ -154,14 +153,14 @@
     def _apply_store_update(self, update: messages.StoreUpdate) -> None:
         match update:
             case messages.ConfigurationChanged(configuration):
-                self._apply_configuration(configuration)
+                self._deployment.apply_configuration(configuration)
             case messages.ServersChanged(servers):
                 self._update_servers(servers)
             case messages.EvacuationsChanged(zones):
-                self._evacuated_zones = zones
+                self._deployment.update_evacuations(zones)
                 self._update_connectivity()
             case messages.KeyTableChanged(table):
-                self._update_key_table(table)
+                self._deployment.update_key_table(table)
             case messages.VmsChanged(vms):
                 self._vms = vms
                 self._forwarding.update_vms(vms)
@@ -173,72 +172,26 @@
 
     # Configuration and servers
 
-    def _apply_configuration(self, configuration: models.Configuration) -> None:
-        bounds = self._bounds
-        for name, settings in configuration.groups.items():
-            group = self._groups.get(name)
-            if group is not None:
-                group.settings = settings
-                continue
-            self._groups[name] = dispatch.GroupState(
-                settings,
-                retry_budget.RetryBudget(
-                    bounds.retry_ratio,
-                    bounds.retry_slack,
-                    bounds.retry_window_s,
-                ),
-            )
-
-    def _update_key_table(self, table: models.KeyTable) -> None:
-        group = self._groups.get(table.group)
-        if group is not None and (
-            group.table is None or group.table.revision < table.revision
-        ):
-            group.table = table
-
     def _update_servers(
         self, servers: Mapping[str, models.BackendServer]
     ) -> None:
-        now_s = self._now_s()
-        instances = {server.instance: server for server in servers.values()}
-        for instance in [key for key in self._servers if key not in instances]:
-            self._servers.pop(instance).pool.close()
+        self._deployment.update_servers(servers, self._now_s())
+        instances = set(self._deployment.servers)
         self._forwarding.retain_owners(instances)
-        self._statement_log.retain(set(instances))
-        for instance, server in instances.items():
-            state = self._servers.get(instance)
-            if state is None:
-                state = dispatch.ServerState(server)
-                state.leaving_since_s = self._leaving.since_s(instance)
-                self._servers[instance] = state
-                if server.cold_ms > 0:
-                    state.cold_until_s = now_s + server.cold_ms / 1000.0
-            elif server.revision > state.server.revision:
-                if server.cold_ms > 0:
-                    state.cold_until_s = now_s + server.cold_ms / 1000.0
-                state.server = server
-            if server.is_draining:
-                state.pool.close()
-        self._servers_by_group = {}
-        for state in self._servers.values():
-            self._servers_by_group.setdefault(state.server.group, []).append(
-                state
-            )
+        self._statement_log.retain(instances)
         self._update_connectivity()
 
     def _update_connectivity(self) -> None:
-        self._connectivity.update_servers(
-            s.server for s in self._servers.values() if self._is_eligible(s)
-        )
+        self._connectivity.update_servers(self._deployment.eligible_servers())
 
     def _collect_key_usage(self) -> messages.KeyUsage:
         self._connectivity.probe_if_isolated(
-            self._servers.values(), self._now_s()
+            self._deployment.servers.values(), self._now_s()
         )
         return key_usage.collect(
             self._vm,
-            self._groups,
-            self._servers.values(),
+            self._deployment.groups,
+            self._deployment.servers.values(),
             is_isolated=self._connectivity.is_isolated,
         )
 
@@ -246,7 +199,7 @@
 
     def _place_or_queue(self, place_request: messages.PlaceRequest) -> None:
         requirements = place_request.requirements
-        group = self._groups.get(requirements.group)
+        group = self._deployment.groups.get(requirements.group)
         now_s = self._now_s()
         if group is None:
             self._refuse_request(
@@ -294,7 +247,7 @@
         requirements = place_request.requirements
         if place_request.reply.done():
             return None
-        group = self._groups[requirements.group]
+        group = self._deployment.groups[requirements.group]
         if group.settings.is_keyed and requirements.key is not None:
             return self._try_place_on_owner(
                 place_request, group, requirements.key, now_s
@@ -313,13 +266,15 @@
             if group.table is not None
             else None
         )
-        state = self._servers.get(owner) if owner is not None else None
+        state = (
+            self._deployment.servers.get(owner) if owner is not None else None
+        )
         if (
             owner is not None
             and owner == place_request.requirements.rejecting_instance
         ):
             return refusals.create(_Reason.NO_OWNER)
-        if state is None or not self._is_eligible(state):
+        if state is None or not self._deployment.is_eligible(state):
             return refusals.create(_Reason.NO_OWNER)
         if not self._connectivity.select_reachable(
             (state,), place_request.requirements, now_s
@@ -353,11 +308,11 @@
         now_s: float,
     ) -> messages.NotPlaced | None:
         requirements = place_request.requirements
-        group_servers = self._servers_by_group.get(requirements.group, [])
+        group_servers = self._deployment.servers_of(requirements.group)
         sampled = decisions.sample_servers(group_servers, self._rng)
         if not any(self._is_usable(s) for s in sampled):
             sampled = group_servers
-        eligible = [s for s in sampled if self._is_eligible(s)]
+        eligible = [s for s in sampled if self._deployment.is_eligible(s)]
         if not eligible:
             return refusals.create(_Reason.NO_SERVER)
         within_rate = [
@@ -437,17 +392,10 @@
         )
 
     def _is_usable(self, state: dispatch.ServerState) -> bool:
-        return self._is_eligible(
+        return self._deployment.is_eligible(
             state
         ) and self._connectivity.allows_connection(state.server)
 
-    def _is_eligible(self, state: dispatch.ServerState) -> bool:
-        server = state.server
-        return (
-            not server.is_draining
-            and server.availability_zone not in self._evacuated_zones
-        )
-
     def _is_within_slow_start_rate(
         self,
         state: dispatch.ServerState,
@@ -512,10 +460,10 @@
         now_s = self._now_s()
         placement = returned.placement
         requirements = returned.requirements
-        group = self._groups.get(requirements.group)
+        group = self._deployment.groups.get(requirements.group)
         if group is not None and requirements.is_retry:
             group.budget.refund()
-        state = self._servers.get(placement.server.instance)
+        state = self._deployment.servers.get(placement.server.instance)
         if state is None:
             if placement.connection is not None:
                 placement.connection.close()
@@ -528,7 +476,7 @@
 
     def _finish_attempt(self, finished: messages.AttemptFinished) -> None:
         now_s = self._now_s()
-        state = self._servers.get(finished.placement.server.instance)
+        state = self._deployment.servers.get(finished.placement.server.instance)
         connection = finished.connection
         if state is None:
             if connection is not None:
@@ -552,7 +500,7 @@
 
     def _finish_probe(self, probed: messages.ServerProbed) -> None:
         now_s = self._now_s()
-        state = self._servers.get(probed.server.instance)
+        state = self._deployment.servers.get(probed.server.instance)
         if state is not None:
             self._connectivity.record_probe(probed, now_s)
         if probed.connection is None:
@@ -572,7 +520,7 @@
         if state.server.is_draining or state.leaving_since_s is not None:
             connection.close()
             return
-        group = self._groups.get(state.server.group)
+        group = self._deployment.groups.get(state.server.group)
         state.pool.release(
             connection,
             now_s,
@@ -583,8 +531,7 @@
         )
 
     def _close_connections(self) -> None:
-        for state in self._servers.values():
-            state.pool.close()
+        self._deployment.close()
         self._forwarding.close()
 
     def _now_s(self) -> float:
