Split the succession from the lease

What decides when this gateway takes a lease moves to ownership/succession.py; lease.py keeps the lease itself.

--- a/berylweir/gateway/ownership/lease.py
+++ b/berylweir/gateway/ownership/lease.py
@@ -25,6 +25,7 @@
 from berylweir.gateway.ownership import holder_monitor
 from berylweir.gateway.ownership import lease_history
 from berylweir.gateway.ownership import lease_store
+from berylweir.gateway.ownership import succession
 from berylweir.gateway.ownership import table_recovery
 from berylweir.gateway.peers import messages as peers
 from berylweir.gateway.peers import task as peer_task
@@ -42,9 +43,6 @@
 # Additional delay before the first lease is created, in seconds, so that the
 # other gateways don't get the object with its holder's address after the lease.
 _FIRST_LEASE_DELAY_S = 0.15
-# Time for which a gateway that handed the lease over because it was cut off
-# from the servers counts as still cut off, in seconds.
-_HAND_OVER_PAUSE_S = 10.0
 # Shortest time between two reports to the holder, in seconds, however urgent.
 _MIN_REPORT_PAUSE_S = 0.2
 
@@ -127,7 +125,7 @@
         self._on_lost = on_lost
         self._lease: models.Lease | None = None
         self._has_read_lease = False
-        self._vms: Mapping[str, models.Vm] = {}
+        self._succession = succession.Succession(local_vm, is_isolated)
         # When this gateway last read or wrote itself as the holder. This and
         # the other times are on the boot clock, in seconds.
         self._confirmed_s = float("-inf")
@@ -136,10 +134,6 @@
         self._report_requested = asyncio.Event()
         self._is_resigning = False
         self._is_store_up = is_store_up
-        self._is_isolated = is_isolated
-        self._handed_over_s = float("-inf")
-        # Revision of a released lease that its holder offered this gateway.
-        self._offered_revision: int | None = None
         self._previous_lease: models.Lease | None = None
         self._on_holder_status = on_holder_status
         # Epoch of its own for which this gateway has started to act.
@@ -203,7 +197,7 @@
         Args:
             vms: All of them by the name of their VM.
         """
-        self._vms = vms
+        self._succession.update_vms(vms)
         self._holder_check.update_vms(vms)
         self._state_changed.set()
 
@@ -296,10 +290,10 @@
         lease = self._lease
         if lease is None or not self.is_holder:
             return
-        self._handed_over_s = clock.boot_s()
+        self._succession.record_hand_over(clock.boot_s())
         self._lease = dataclasses.replace(lease, holder="", incarnation="")
         self._on_lost()
-        successor = next((self._vms[n] for n in vms if n in self._vms), None)
+        successor = self._succession.first_registered(vms)
         match await self._release(lease):
             case lease_store.Written(released):
                 self.update_lease(released)
@@ -322,9 +316,9 @@
             epoch: Epoch of the released lease.
             revision: Revision of the store at which it was released.
         """
-        if self._is_isolated() or self._is_resigning:
+        if self._succession.is_isolated or self._is_resigning:
             return
-        self._offered_revision = revision
+        self._succession.record_offer(revision)
         self.update_lease(models.Lease("", "", epoch, revision))
         self.report_soon()
 
@@ -360,7 +354,7 @@
         lease = self._lease
         if lease is None or not lease.holder:
             return True
-        holder = self._vms.get(lease.holder)
+        holder = self._succession.vms.get(lease.holder)
         is_other_run = (
             holder is not None and holder.incarnation != lease.incarnation
         )
@@ -412,15 +406,15 @@
         lease = self._lease
         if lease is None:
             return
-        rank = self._succession_rank(lease)
-        interval_s = election.report_interval_s(rank, len(self._vms))
+        rank = self._succession.rank(lease)
+        interval_s = election.report_interval_s(rank, len(self._succession.vms))
         if self._reported_epoch != lease.epoch:
             self._reported_epoch = lease.epoch
             if rank >= election.DEPUTY_COUNT:
                 # Spreads the first reports to a new holder, which is busy.
                 await self._wait_for_change(random.uniform(0.0, interval_s))
                 return
-        holder = self._vms.get(lease.holder)
+        holder = self._succession.vms.get(lease.holder)
         if holder is None:
             # The object with the holder's address may be read after the lease.
             self._holder.record_no_address()
@@ -473,16 +467,7 @@
         waits, so that gateways rarely compete.
         """
         lease = self._lease
-        delay_s = election.takeover_delay_s(
-            self._succession_rank(lease),
-            was_offered=(
-                lease is not None and lease.revision == self._offered_revision
-            ),
-            reaches_servers=not (
-                self._is_isolated()
-                or clock.boot_s() - self._handed_over_s < _HAND_OVER_PAUSE_S
-            ),
-        )
+        delay_s = self._succession.takeover_delay_s(lease, clock.boot_s())
         if lease is None:
             delay_s += _FIRST_LEASE_DELAY_S
         if await self._wait_for_change(delay_s) and self._lease is not lease:
@@ -588,12 +573,6 @@
                     await self._wait_for_change(_CONFIRM_RETRY_S)
         return False
 
-    def _succession_rank(self, lease: models.Lease | None) -> int:
-        holder = lease.holder if lease else ""
-        return election.succession_rank(
-            self._local_vm, self._vms, holder, lease.epoch if lease else 0
-        )
-
     async def _wait_for_change(self, timeout_s: float | None) -> bool:
         """Waits for a change of the lease or of the registered gateways.
 
