Don't take an announced lease for a resigned one

After a restoration, keys could have got two owners: a holder that announced its lease and was then silent was not awaited if the new holder hadn't read that lease from the store yet.

Cause: a lease without a holder means that it was resigned, but also that it was announced and not read yet. The wait took both for a resignation, and dropped the holder that all other gateways know for the epoch.

Change: only a gateway that knows the lease from before the restoration says that it was resigned. Its history records no lease without a holder unless it was read. The new test fails without the change: vm-2 isn't awaited.

--- a/berylweir/gateway/ownership/recovery_wait.py
+++ b/berylweir/gateway/ownership/recovery_wait.py
@@ -124,7 +124,9 @@
     """Returns all leases of earlier generations that any gateway knows.
 
     One that was resigned is only returned without its holder, since the copy
-    and some gateways may not know of that.
+    and some gateways may not know of that. Only a gateway that read the
+    resignation counts: a lease that was announced, but not read yet, has no
+    holder either.
     """
     known = {
         lease
@@ -132,6 +134,7 @@
         if response.former is not None
         for lease in response.former.leases
     }
+    resigned = {lease.epoch for lease in known if not lease.holder}
     if restored_lease is not None:
         known.add(
             lease_history.FormerLease(
@@ -140,7 +143,6 @@
                 restored_lease.epoch,
             )
         )
-    resigned = {lease.epoch for lease in known if not lease.holder}
     return {
         lease
         for lease in known
--- a/tests/gateway/ownership/test_recovery_wait.py
+++ b/tests/gateway/ownership/test_recovery_wait.py
@@ -125,6 +125,14 @@
         )
         assert wait == recovery_wait.Wait(_STARTED_S + _LIFETIME_S, frozenset())
 
+    def test_lease_that_was_only_announced_was_not_resigned(self):
+        """Guards against a second owner by the moves of a live holder."""
+        announced = models.Lease("", "", 4, 1)
+        wait = plan(
+            {"vm-1": response(former("vm-2"))}, restored_lease=announced
+        )
+        assert wait.awaited == {"vm-2"}
+
     def test_most_gateways_suffice(self):
         """Guards against a long wait if the store was down before."""
         known = former("vm-2", is_last=False)
