Don't certify a released lease as the last one of its generation

After a restoration, keys could have got two owners: a gateway that had seen the lease released counted it as the last one, although a successor takes such a lease within a second, and its moves may be lost with the store's past.

Cause: the evidence that the lease was in force stayed valid for 4 s after its release. Traced in the code by a review; not seen in a run.

Change: a release ends the evidence. The new test fails without it.

--- a/berylweir/gateway/ownership/lease_history.py
+++ b/berylweir/gateway/ownership/lease_history.py
@@ -154,6 +154,9 @@
             self._evidence_s = now_s
             known = self._leases if self._follows(epoch) else ()
             self._leases = (*known, lease)[-_MAX_LEASES:]
+        if not holder:
+            # A successor takes a released lease at once.
+            self._evidence_s = float("-inf")
         if revisions.epoch_generation(epoch) < self._generation:
             # It became known only after the restoration.
             self._former = FormerLeases(self._leases, is_last=False)
--- a/tests/gateway/ownership/test_lease_history.py
+++ b/tests/gateway/ownership/test_lease_history.py
@@ -1,5 +1,7 @@
 """Tests of which lease was in force before a restoration."""
 
+import dataclasses
+
 import pytest
 
 from berylweir.gateway import models
@@ -45,6 +47,19 @@
         assert history.former is not None
         assert history.former.newest.holder == "vm-1"
 
+    def test_released_lease_is_not_certainly_the_last(self):
+        """Guards against a successor that nobody awaits."""
+        history = lease_history.LeaseHistory()
+        history.record_lease(lease(4), 0.0)
+        history.record_evidence(4, 0.5)
+        released = dataclasses.replace(
+            lease(4), holder="", incarnation="", revision=20
+        )
+        history.record_lease(released, 1.0)
+        history.record_generation(1, 1.5)
+        assert history.former is not None
+        assert not history.former.is_last
+
     def test_announced_lease_is_named(self):
         """Guards against a holder whose lease wasn't read in time."""
         history = lease_history.LeaseHistory()
