Build the handler of the tests of a stop with the name of its VM

The tests of waits in a planned stop failed with a TypeError: the handler takes the name of its VM since requests are forwarded, and configurations by store updates. Only the harness changes.

--- a/tests/gateway/test_stop.py
+++ b/tests/gateway/test_stop.py
@@ -231,7 +231,7 @@
         self.inbox = dispatch.create_inbox()
         self.permits_inbox = permits.create_inbox()
         self.handler = handler.RequestHandler(
-            self.inbox, self.permits_inbox, counters.Counters()
+            "vm-0", self.inbox, self.permits_inbox, counters.Counters()
         )
         route = models.Route(
             "r",
@@ -245,8 +245,12 @@
             max_servers=2,
             shares=(models.Share("books", 1.0),),
         )
-        self.handler.configure(
-            models.Configuration("1", 1, (route,), {}, models.CallerLimits())
+        self.handler.on_store_update(
+            messages.ConfigurationChanged(
+                models.Configuration(
+                    "1", 1, (route,), {}, models.CallerLimits()
+                )
+            )
         )
 
     def begin_stop(self, *, accepts_s: float, ends_s: float) -> None:
