Release a lease that is handed over in the task that owns its connection

While the lease is handed over, its release could get the response to a read of the lease that was in flight: the offer then named the wrong revision, the successor waited for its turn, and the release could be cut off.

Cause: the hand-over ran in the task that balances keys, and the read in that of the lease; both used one connection. Likewise the release at a stop began before the cancelled tasks had ended. Found by a review; not seen in a run.

Change: a hand-over gives the lease up at once, and the task of the lease writes the release. A stop waits for its tasks first. The new test fails without the change: the offer has the revision of the read.

--- a/berylweir/gateway/ownership/lease.py
+++ b/berylweir/gateway/ownership/lease.py
@@ -133,6 +133,9 @@
         self._state_changed = asyncio.Event()
         self._report_requested = asyncio.Event()
         self._is_resigning = False
+        # A lease that was given up but not yet released, and the VM to which
+        # it is offered.
+        self._handed_over: tuple[models.Lease, models.Vm | None] | None = None
         self._is_store_up = is_store_up
         self._previous_lease: models.Lease | None = None
         self._on_holder_status = on_holder_status
@@ -261,6 +264,10 @@
         while True:
             if not self._has_read_lease or self._is_resigning:
                 await self._wait_for_change(None)
+            elif self._handed_over is not None:
+                lease, successor = self._handed_over
+                self._handed_over = None
+                await self._release_handed_over(lease, successor)
             elif self.is_holder and self._is_of_earlier_generation():
                 await self._write_own_lease()
             elif self.is_holder and self._acting_epoch != self.epoch:
@@ -281,8 +288,8 @@
         self._on_lost()
         await self._release(lease)
 
-    async def hand_over(self, vms: Sequence[str]) -> None:
-        """Releases the lease and offers it to another gateway.
+    def hand_over(self, vms: Sequence[str]) -> None:
+        """Gives up the lease at once, and has it released and offered.
 
         Args:
             vms: VMs whose gateways can hold it, the preferred ones first.
@@ -292,8 +299,19 @@
             return
         self._succession.record_hand_over(clock.boot_s())
         self._lease = dataclasses.replace(lease, holder="", incarnation="")
+        self._handed_over = lease, self._succession.first_registered(vms)
         self._on_lost()
-        successor = self._succession.first_registered(vms)
+        self._state_changed.set()
+
+    async def _release_handed_over(
+        self, lease: models.Lease, successor: models.Vm | None
+    ) -> None:
+        """Writes that a lease that was given up has no holder, and offers it.
+
+        Args:
+            lease: The lease.
+            successor: VM of the gateway that gets the offer, if any.
+        """
         match await self._release(lease):
             case lease_store.Written(released):
                 self.update_lease(released)
@@ -362,10 +380,10 @@
 
     async def _confirm_lease(self) -> None:
         """Confirms that this gateway still holds the lease, then waits."""
-        if await self._read_own_lease():
-            await self._wait_for_change(_CONFIRM_INTERVAL_S)
-        else:
+        if not await self._read_own_lease():
             await asyncio.sleep(_CONFIRM_RETRY_S)
+        elif self.is_holder:
+            await self._wait_for_change(_CONFIRM_INTERVAL_S)
 
     async def _read_own_lease(self) -> bool:
         """Reads the lease, which confirms it if it is still this gateway's.
--- a/berylweir/gateway/ownership/task.py
+++ b/berylweir/gateway/ownership/task.py
@@ -177,6 +177,8 @@
             for task in tasks:
                 if task.done():
                     task.result()
+        # They may still use the connection on which the lease is released.
+        await asyncio.wait(tasks)
         await self._lease.resign()
 
     def report_soon(self) -> None:
@@ -328,7 +330,7 @@
             instance, sent_s, has_response=responded
         )
 
-    async def _hand_over_if_cut_off(self) -> bool:
+    def _hand_over_if_cut_off(self) -> bool:
         """Hands the lease over if only other gateways reach the owners."""
         owners = {
             key_range.owner
@@ -342,7 +344,7 @@
             case owner_contact.HandOverLease(vms):
                 self._metrics.count("lease.handed_over")
                 _LOGGER.warning("lease handed over", extra={"vms": vms[:3]})
-                await self._lease.hand_over(vms)
+                self._lease.hand_over(vms)
                 return True
 
     # Tables
@@ -360,7 +362,7 @@
                 self._state_changed.clear()
                 await self._state_changed.wait()
                 continue
-            if await self._hand_over_if_cut_off():
+            if self._hand_over_if_cut_off():
                 continue
             await self._write_completed_moves()
             is_due = loop.time() >= next_balance_s
--- a/tests/gateway/ownership/test_lease.py
+++ b/tests/gateway/ownership/test_lease.py
@@ -180,15 +180,33 @@
     """A holder that reaches no servers, and the gateway that it chooses."""
 
     @contextlib.asynccontextmanager
-    async def run_manager(self, holder: str, is_isolated: bool = False):
+    async def run_manager(
+        self,
+        holder: str,
+        is_isolated: bool = False,
+        read_delay_s: float = 0.0,
+    ):
         """Runs a gateway, `me`, while it or `other` holds the lease.
 
+        Args:
+            holder: The VM that holds it.
+            is_isolated: Whether `me` reaches no server.
+            read_delay_s: Time after which the store answers reads, in seconds.
+
         Yields:
             The manager, the store with the lease and the other gateways.
         """
         async with contextlib.AsyncExitStack() as stack:
             lease_store = store_standin.Store()
-            port = await http.listen(stack, lease_store.handle)
+            self._reads = 0
+
+            async def handle(request: http.Request) -> http.Response | None:
+                if request.method == "GET":
+                    self._reads += 1
+                    await asyncio.sleep(read_delay_s)
+                return await lease_store.handle(request)
+
+            port = await http.listen(stack, handle)
             vms = {name: vm(name) for name in ("me", "other")}
             spec = {
                 "holder": holder,
@@ -247,11 +265,32 @@
         """Guards against a holder without contact that keeps the lease."""
         async with self.run_manager("me") as (manager, lease_store, gateways):
             await rig.until(lambda: manager.may_act)
-            await manager.hand_over(["gone", "other"])
+            manager.hand_over(["gone", "other"])
             assert not manager.is_holder
-            assert self.read_lease(lease_store)["holder"] == ""
+            await rig.until(
+                lambda: self.read_lease(lease_store)["holder"] == ""
+            )
+            offer = peers.OfferLease(3, lease_store.revision)
+            await rig.until(lambda: ("other", offer) in gateways.requests)
+
+    async def test_a_hand_over_waits_for_the_read_of_the_lease(self):
+        """Guards against a response that is taken for that of another call."""
+        async with self.run_manager("me", read_delay_s=0.3) as (
+            manager,
+            lease_store,
+            gateways,
+        ):
+            await rig.until(lambda: manager.may_act)
+            reads = self._reads
+            # A change of the gateways has the lease read again.
+            manager.update_vms({name: vm(name) for name in ("me", "other")})
+            await rig.until(lambda: self._reads > reads)
+            manager.hand_over(["other"])
+            await rig.until(
+                lambda: self.read_lease(lease_store)["holder"] == ""
+            )
             offer = peers.OfferLease(3, lease_store.revision)
-            assert ("other", offer) in gateways.requests
+            await rig.until(lambda: ("other", offer) in gateways.requests)
 
     async def test_an_offered_lease_is_taken(self):
         """Guards against an offer that has no effect."""
