Hand the lease over only to a gateway that reaches more owners

With zones that are cut apart for servers, but not for gateways, the lease would have gone round: each holder finds most owners silent and others that reach them, raises all tokens and hands over before it moves any key. A single lost grant to each of few owners was enough as well.

Cause: the decision asked whether others reach silent owners, not whether one of them reaches more than the holder; and an owner was silent after one grant.

--- a/berylweir/gateway/ownership/lease.py
+++ b/berylweir/gateway/ownership/lease.py
@@ -334,7 +334,9 @@
             epoch: Epoch of the released lease.
             revision: Revision of the store at which it was released.
         """
-        if self._succession.is_isolated or self._is_resigning:
+        if self._is_resigning or not self._succession.reaches_servers(
+            clock.boot_s()
+        ):
             return
         self._succession.record_offer(revision)
         self.update_lease(models.Lease("", "", epoch, revision))
--- a/berylweir/gateway/ownership/owner_contact.py
+++ b/berylweir/gateway/ownership/owner_contact.py
@@ -14,6 +14,9 @@
 # Owners without contact that other VMs must have reached meanwhile. Fewer may
 # have lost only their own links to the holder.
 _MIN_REACHED_BY_OTHERS = 3
+# Time without a response after which an owner counts as silent, in seconds. A
+# grant that fails is repeated within it.
+_MIN_SILENCE_S = 1.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -26,7 +29,7 @@
     """Another gateway reaches owners that the holder can't reach.
 
     Attributes:
-        vms: VMs that reach them, those with the most responses first.
+        vms: VMs that reach more owners than the holder, the best ones first.
     """
 
     vms: tuple[str, ...]
@@ -48,14 +51,12 @@
         # requests certainly ended after the report before it.
         self._reported_s: dict[str, float] = {}
         self._served_since_s: dict[str, dict[str, float]] = {}
-        self._served: dict[str, int] = {}
 
     def start_epoch(self) -> None:
         """Forgets what was known under an earlier lease."""
         self._silent_since_s.clear()
         self._reported_s.clear()
         self._served_since_s.clear()
-        self._served.clear()
 
     def record_grant(
         self,
@@ -91,44 +92,50 @@
         """
         previous_s = self._reported_s.get(vm)
         self._reported_s[vm] = now_s
-        served = {n: u.served for n, u in servers.items() if u.served > 0}
-        self._served[vm] = sum(served.values())
         if previous_s is not None:
-            self._served_since_s[vm] = dict.fromkeys(served, previous_s)
+            self._served_since_s[vm] = {
+                name: previous_s for name, u in servers.items() if u.served > 0
+            }
 
     @property
     def has_silent_owners(self) -> bool:
         """Whether the last grant to any server got no response."""
         return bool(self._silent_since_s)
 
-    def decide(self, owners: Collection[models.ServerInstance]) -> Verdict:
+    def decide(
+        self, owners: Collection[models.ServerInstance], now_s: float
+    ) -> Verdict:
         """Returns whether another gateway should hold the lease.
 
         It should if most owners don't respond to the holder, but have served
-        requests of other VMs since they stopped doing so.
+        requests of other VMs since they stopped doing so, and one of these VMs
+        reaches more of them than still respond to the holder.
 
         Args:
             owners: The servers that own keys now.
+            now_s: Current time.
         """
         silent = {
             owner.server: self._silent_since_s[owner]
             for owner in owners
-            if owner in self._silent_since_s
+            if now_s - self._silent_since_s.get(owner, now_s) >= _MIN_SILENCE_S
         }
-        if 2 * len(silent) <= len(owners):
+        responding = len(owners) - len(silent)
+        if len(silent) <= responding:
             return KeepLease()
-        reached: set[str] = set()
-        vms: list[str] = []
-        for vm, served_since_s in self._served_since_s.items():
-            reached_by_vm = {
+        reached_by_vm = {
+            vm: {
                 server
                 for server, since_s in served_since_s.items()
                 if server in silent and since_s >= silent[server]
             }
-            if reached_by_vm:
-                reached |= reached_by_vm
-                vms.append(vm)
-        if len(reached) < min(_MIN_REACHED_BY_OTHERS, len(silent)):
+            for vm, served_since_s in self._served_since_s.items()
+        }
+        reached = set().union(*reached_by_vm.values())
+        vms = [
+            vm for vm, found in reached_by_vm.items() if len(found) > responding
+        ]
+        if not vms or len(reached) < min(_MIN_REACHED_BY_OTHERS, len(silent)):
             return KeepLease()
-        vms.sort(key=lambda vm: (-self._served[vm], vm))
+        vms.sort(key=lambda vm: (-len(reached_by_vm[vm]), vm))
         return HandOverLease(tuple(vms))
--- a/berylweir/gateway/ownership/succession.py
+++ b/berylweir/gateway/ownership/succession.py
@@ -34,11 +34,6 @@
         # Revision of a released lease that its holder offered this gateway.
         self._offered_revision: int | None = None
 
-    @property
-    def is_isolated(self) -> bool:
-        """Whether this VM reaches no backend server."""
-        return self._is_isolated()
-
     @property
     def vms(self) -> Mapping[str, models.Vm]:
         """Registered gateways by the name of their VM."""
@@ -52,6 +47,13 @@
         """Returns the first of some VMs that is registered."""
         return next((self._vms[n] for n in names if n in self._vms), None)
 
+    def reaches_servers(self, now_s: float) -> bool:
+        """Returns whether this VM reaches backend servers, as far as known."""
+        return not (
+            self._is_isolated()
+            or now_s - self._handed_over_s < _HAND_OVER_PAUSE_S
+        )
+
     def record_hand_over(self, now_s: float) -> None:
         """Records that this gateway handed the lease over."""
         self._handed_over_s = now_s
@@ -82,8 +84,5 @@
             was_offered=(
                 lease is not None and lease.revision == self._offered_revision
             ),
-            reaches_servers=not (
-                self._is_isolated()
-                or now_s - self._handed_over_s < _HAND_OVER_PAUSE_S
-            ),
+            reaches_servers=self.reaches_servers(now_s),
         )
--- a/berylweir/gateway/ownership/task.py
+++ b/berylweir/gateway/ownership/task.py
@@ -338,7 +338,7 @@
             for key_range in table.ranges
             if key_range.owner is not None
         }
-        match self._reports.owner_contact.decide(owners):
+        match self._reports.owner_contact.decide(owners, clock.boot_s()):
             case owner_contact.KeepLease():
                 return False
             case owner_contact.HandOverLease(vms):
--- a/tests/gateway/ownership/test_lease.py
+++ b/tests/gateway/ownership/test_lease.py
@@ -305,6 +305,18 @@
                 lambda: self.read_lease(lease_store)["holder"] == "me"
             )
 
+    async def test_a_gateway_that_handed_over_ignores_an_offer(self):
+        """Guards against a lease that moves to and fro."""
+        async with self.run_manager("me") as (manager, lease_store, _):
+            await rig.until(lambda: manager.may_act)
+            manager.hand_over([])
+            await rig.until(
+                lambda: self.read_lease(lease_store)["holder"] == ""
+            )
+            manager.accept_offer(3, lease_store.revision + 1)
+            assert manager._succession.takeover_delay_s(None, 0.0) > 0.0
+            assert manager._lease.revision == lease_store.revision
+
     async def test_an_isolated_gateway_ignores_an_offer(self):
         """Guards against a lease that moves between isolated gateways."""
         async with self.run_manager("other", is_isolated=True) as (
