Give forwarded requests back that a stopping gateway can't finish

A request that another gateway forwarded within 2.8 s after the signal of a planned stop was sent to a server although it could outlast the stop; it was cut at the end, and the caller got 502 if it may not be repeated.

Cause: forwarded requests were treated like those of callers, who are cut off if they aren't served here; the gateway that forwarded can take them elsewhere. Traced in the code by a review.

Change: of these requests, a stopping gateway sends only those that end before its connections do, and answers that it can't use any server for the others, so that the next gateway is tried. The new test fails without the change: the request is placed.

--- a/berylweir/gateway/exchange/handler.py
+++ b/berylweir/gateway/exchange/handler.py
@@ -96,21 +96,16 @@
         group, state, timeout_ms = self._prepare(request, route)
         deadline_s = request.head_received_s + timeout_ms / 1000.0
         loop = asyncio.get_running_loop()
-        # A download may take longer than the route's timeout.
-        finish_s = (
-            responses.stream_deadline_s(request, deadline_s)
-            if route.is_download
-            else deadline_s
-        )
+        limited = _limit_sending(request, route, deadline_s)
         while True:
             requirements = self._build_requirements(
                 request, route, group, state, deadline_s
             )
             if deadline_s <= loop.time():
                 return self._answers.answer_timeout(request, route, state)
-            if not self._send_limits.allows(finish_s, loop.time()):
+            if not self._send_limits.allows(limited, loop.time()):
                 return self._answers.answer_stopping(request, route, state)
-            wait = self._send_limits.begin_wait(finish_s)
+            wait = self._send_limits.begin_wait(limited)
             try:
                 async with wait:
                     placement = await self._find_server(requirements)
@@ -430,3 +425,22 @@
 
 def _now_s() -> float:
     return asyncio.get_running_loop().time()
+
+
+def _limit_sending(
+    request: exchange.CallerRequest, route: models.Route, deadline_s: float
+) -> stopping.Limited:
+    """Returns what limits the sending of a request in a planned stop."""
+    # A download may take longer than the route's timeout.
+    finish_s = (
+        responses.stream_deadline_s(request, deadline_s)
+        if route.is_download
+        else deadline_s
+    )
+    match request.origin:
+        case exchange.FromCaller():
+            return stopping.Limited(finish_s)
+        case exchange.FromGateway():
+            return stopping.Limited(finish_s, was_forwarded=True)
+        case _:
+            typing.assert_never(request.origin)
--- a/tests/gateway/test_stop.py
+++ b/tests/gateway/test_stop.py
@@ -260,7 +260,9 @@
             stopping.Stopping(now_s + accepts_s, now_s + ends_s)
         )
 
-    def handle(self, deadline_ms: float) -> "asyncio.Task[exchange.Answer]":
+    def handle(
+        self, deadline_ms: float, origin: exchange.Origin | None = None
+    ) -> "asyncio.Task[exchange.Answer]":
         """Begins to handle a request that has just arrived."""
         loop = asyncio.get_running_loop()
         head = requests.decode_request(
@@ -271,7 +273,9 @@
                 (b"deadline-ms", b"%d" % deadline_ms),
             ],
         )
-        request = exchange.CallerRequest(head, b"", loop.time())
+        request = exchange.CallerRequest(
+            head, b"", loop.time(), origin or exchange.FromCaller()
+        )
         return loop.create_task(self.handler.handle(request))
 
 
@@ -318,6 +322,15 @@
         assert (await harness.handle(9000.0)).status == 503
         assert len(harness.inbox) == 0
 
+    async def test_forwarded_request_is_given_back(self):
+        """Guards against cutting off what another gateway could serve."""
+        harness = HandlerHarness(kind="unsafe", timeout_ms=9000.0)
+        harness.begin_stop(accepts_s=2.8, ends_s=5.0)
+        origin = exchange.FromGateway("vm-1", "books", 0, False, 9000.0)
+        answer = await harness.handle(9000.0, origin)
+        assert answer.kind is exchange.AnswerKind.ISOLATED
+        assert len(harness.inbox) == 0
+
     async def test_late_request_that_ends_in_time_is_sent(self):
         """Guards against refusing what the time left is enough for."""
         harness = HandlerHarness(kind="unsafe", timeout_ms=9000.0)
