Test that an isolated lease holder is replaced, with real gateways

Two gateways, two servers that own keys; the holder is cut off from all servers, with connections refused or silent. The other gateway takes the lease and serves the keys.

--- a/tests/gateway/test_forwarding.py
+++ b/tests/gateway/test_forwarding.py
@@ -81,6 +81,36 @@
     await rig.until(uses_others)
 
 
+class TestIsolatedHolder:
+    """A lease holder that reaches no server, while another gateway does."""
+
+    @pytest.mark.parametrize("how", list(rig.Cut))
+    async def test_another_gateway_takes_the_lease(self, how):
+        """Guards against keys without owners while the holder is cut off."""
+        async with start_deployment() as deployment:
+            other, holder = split_by_lease(deployment)
+
+            async def serves_each_owner() -> bool:
+                replies = [
+                    await other.ask(
+                        "/k/0", f"a{key}", headers=f"Shard-Key: {key}\r\n"
+                    )
+                    for key in (7, 40_000)
+                ]
+                return all(r and r.status == 200 for r in replies)
+
+            await rig.until(serves_each_owner)
+            deployment.cut_from_servers(holder, how)
+
+            async def is_handed_over() -> bool:
+                await serves_each_owner()
+                lease = deployment.store.get("berylweir", "lease")
+                return lease["spec"]["holder"] == other.environment.vm
+
+            await rig.until(is_handed_over)
+            await rig.until(serves_each_owner)
+
+
 class TestIsolatedGateway:
     """A gateway that reaches no server, while another one does."""
 
