Tell the forwarding gateway which server is leaving

A gateway that was cut off from the servers passes on responses of a server that is leaving; once it reached servers again, it could send requests to that server for as long as its entry didn't say that it leaves.

Cause: what servers say of themselves stayed with the gateway that sent the request; its headers are removed from the answer.

Change: the answer to the forwarding gateway names the server, and that gateway heeds it like a statement of its own responses. Limits and pauses hold between the servers and the gateway that sent; a limit is learned again from the first response.

--- a/berylweir/gateway/dispatch/models.py
+++ b/berylweir/gateway/dispatch/models.py
@@ -185,7 +185,7 @@
             vm_count: Number of VMs that send to the server.
         """
         self.in_flight -= 1
-        self._apply_statements(finished.statements, now_s)
+        self.apply_statements(finished.statements, now_s)
         match finished.attempt_result:
             case messages.AttemptResult.SERVED:
                 self.served += 1
@@ -224,9 +224,15 @@
             ):
                 pass
 
-    def _apply_statements(
+    def apply_statements(
         self, statements: models.ServerStatements, now_s: float
     ) -> None:
+        """Updates what the server says of itself.
+
+        Args:
+            statements: What it said in a response.
+            now_s: Time on the loop's clock, in seconds.
+        """
         load = statements.load
         if load is not None:
             server_load = load.running + load.waiting
--- a/berylweir/gateway/dispatch/task.py
+++ b/berylweir/gateway/dispatch/task.py
@@ -126,7 +126,7 @@
             case messages.AttemptFinished():
                 self._finish_attempt(message)
             case messages.ForwardFinished():
-                self._forwarding.finish(message, self._now_s())
+                self._finish_forward(message)
             case messages.ResponseOverdue(placement):
                 state = self._deployment.servers.get(placement.server.instance)
                 if state is not None:
@@ -483,18 +483,38 @@
                 connection.close()
             return
         state.finish_request(finished, now_s, max(1, len(self._vms)))
-        self._statement_log.record(state, finished.statements, now_s)
+        self._record_statements(state, finished.statements, now_s)
+        self._connectivity.record_result(finished, now_s)
+        if connection is not None:
+            self._release_connection(
+                state, connection, finished.keep_alive_timeout_s, now_s
+            )
+
+    def _finish_forward(self, finished: messages.ForwardFinished) -> None:
+        now_s = self._now_s()
+        self._forwarding.finish(finished, now_s)
+        if finished.leaving_server is None:
+            return
+        state = self._deployment.servers.get(finished.leaving_server)
+        if state is not None:
+            statements = models.ServerStatements(is_leaving=True)
+            state.apply_statements(statements, now_s)
+            self._record_statements(state, statements, now_s)
+
+    def _record_statements(
+        self,
+        state: dispatch.ServerState,
+        statements: models.ServerStatements,
+        now_s: float,
+    ) -> None:
+        """Logs what a server said, and heeds that it is leaving."""
+        self._statement_log.record(state, statements, now_s)
         if state.leaving_since_s is not None and self._leaving.remember(
             state.server.instance, state.leaving_since_s
         ):
             state.pool.close()
             if not state.server.is_draining:
                 self._on_server_leaving()
-        self._connectivity.record_result(finished, now_s)
-        if connection is not None:
-            self._release_connection(
-                state, connection, finished.keep_alive_timeout_s, now_s
-            )
 
     # Connections
 
--- a/berylweir/gateway/exchange/attempt.py
+++ b/berylweir/gateway/exchange/attempt.py
@@ -1,6 +1,7 @@
 """One attempt: sends a request to a backend server and reads the response."""
 
 import asyncio
+import dataclasses
 
 from berylweir.gateway import messages
 from berylweir.gateway import models
@@ -157,6 +158,10 @@
         answer = await responses.read_answer(
             connection, head, stream_deadline_s, self._finish_stream
         )
+        if head.statements.is_leaving:
+            answer = dataclasses.replace(
+                answer, leaving_server=self._placement.server.instance
+            )
         if head.status >= 500 and answer.remaining_body is None:
             return outcomes.ServerFailed(answer), messages.AttemptResult.FAILED
         return outcomes.Answered(answer), messages.AttemptResult.SERVED
--- a/berylweir/gateway/exchange/models.py
+++ b/berylweir/gateway/exchange/models.py
@@ -91,6 +91,7 @@
             of it.
         content_length: Length of the whole body, in bytes; None if unknown.
         kind: What it says of the request.
+        leaving_server: The server, if it said that it is leaving.
     """
 
     status: int
@@ -99,6 +100,7 @@
     remaining_body: AsyncIterator[bytes] | None = None
     content_length: int | None = None
     kind: AnswerKind = AnswerKind.SERVED
+    leaving_server: models.ServerInstance | None = None
 
 
 @dataclasses.dataclass(slots=True)
--- a/berylweir/gateway/forwarding/client.py
+++ b/berylweir/gateway/forwarding/client.py
@@ -3,6 +3,7 @@
 import asyncio
 
 from berylweir.gateway import messages
+from berylweir.gateway import models
 from berylweir.gateway.dispatch import task as dispatch
 from berylweir.gateway.exchange import models as exchange
 from berylweir.gateway.exchange import responses
@@ -52,6 +53,7 @@
         self._connection = forward.connection
         self._deadline_s = deadline_s
         self._is_draining = False
+        self._leaving_server: models.ServerInstance | None = None
         self._loop = asyncio.get_running_loop()
 
     async def run(
@@ -136,6 +138,7 @@
         raw_head = await connection.read_head()
         head, kind = codec.decode_response(raw_head.status, raw_head.headers)
         self._is_draining = _CLOSE_HEADER in raw_head.headers
+        self._leaving_server = codec.decode_leaving_server(raw_head.headers)
         if kind is None:
             return outcomes.Unknown(), _Result.UNKNOWN
         answer = await responses.read_answer(
@@ -169,6 +172,10 @@
             connection = None
         self._inbox.post(
             messages.ForwardFinished(
-                self._forward, forward_result, connection, self._is_draining
+                self._forward,
+                forward_result,
+                connection,
+                self._is_draining,
+                self._leaving_server,
             )
         )
--- a/berylweir/gateway/forwarding/codec.py
+++ b/berylweir/gateway/forwarding/codec.py
@@ -6,9 +6,11 @@
 """
 
 from collections.abc import Sequence
+import dataclasses
 
 import result
 
+from berylweir.gateway import models
 from berylweir.gateway.exchange import models as exchange
 from berylweir.gateway.forwarding import exceptions
 from berylweir.platform import requests
@@ -109,17 +111,32 @@
     )
 
 
-def add_kind(answer: exchange.Answer) -> exchange.Answer:
-    """Returns an answer to another gateway, with its kind as a header."""
-    outcome = (requests.FORWARDED_OUTCOME, answer.kind.value.encode())
-    return exchange.Answer(
-        answer.status,
-        (*answer.headers, outcome),
-        answer.body,
-        answer.remaining_body,
-        answer.content_length,
-        answer.kind,
-    )
+def add_headers(answer: exchange.Answer) -> exchange.Answer:
+    """Returns an answer to another gateway, with the gateway's own headers.
+
+    They tell its kind and whether the server said that it is leaving.
+    """
+    headers = [
+        *answer.headers,
+        (requests.FORWARDED_OUTCOME, answer.kind.value.encode()),
+    ]
+    leaving = answer.leaving_server
+    if leaving is not None:
+        value = f"{leaving.born_ms}/{leaving.server}"
+        headers.append((requests.FORWARDED_LEAVING, value.encode("latin-1")))
+    return dataclasses.replace(answer, headers=tuple(headers))
+
+
+def decode_leaving_server(
+    headers: Sequence[requests.Header],
+) -> models.ServerInstance | None:
+    """Returns the server that said that it is leaving; None if it didn't."""
+    for name, value in headers:
+        if name == requests.FORWARDED_LEAVING:
+            born, separator, server = value.decode("latin-1").partition("/")
+            if separator and born.isdecimal():
+                return models.ServerInstance(server, int(born))
+    return None
 
 
 def decode_response(
--- a/berylweir/gateway/forwarding/server.py
+++ b/berylweir/gateway/forwarding/server.py
@@ -19,6 +19,6 @@
     async def handle_forwarded(
         request: exchange.CallerRequest,
     ) -> exchange.Answer:
-        return codec.add_kind(await handle_request(request))
+        return codec.add_headers(await handle_request(request))
 
     return handle_forwarded
--- a/berylweir/gateway/messages.py
+++ b/berylweir/gateway/messages.py
@@ -322,12 +322,14 @@
         result: What that showed.
         connection: Connection that can be reused, if any.
         is_draining: Whether the other gateway closes its connections.
+        leaving_server: Server that said in its response that it is leaving.
     """
 
     forward: Forward
     result: ForwardResult
     connection: http.Connection | None
     is_draining: bool = False
+    leaving_server: models.ServerInstance | None = None
 
 
 @records.record
--- a/berylweir/platform/requests.py
+++ b/berylweir/platform/requests.py
@@ -30,6 +30,7 @@
 FORWARDED_MAY_HAVE_RUN = b"berylweir-may-have-run"
 FORWARDED_TIMEOUT = b"berylweir-timeout-ms"
 FORWARDED_OUTCOME = b"berylweir-outcome"
+FORWARDED_LEAVING = b"berylweir-leaving"
 _GATEWAY_HEADERS = frozenset(
     {
         FORWARDED_BY,
@@ -38,6 +39,7 @@
         FORWARDED_MAY_HAVE_RUN,
         FORWARDED_TIMEOUT,
         FORWARDED_OUTCOME,
+        FORWARDED_LEAVING,
     }
 )
 # Longest pause that is taken from a server, in seconds.
--- a/tests/gateway/dispatch/test_task.py
+++ b/tests/gateway/dispatch/test_task.py
@@ -190,6 +190,22 @@
             harness.finish(placement, messages.AttemptResult.UNREACHABLE)
             assert (await harness.place(key=key)).vm == vm
 
+    async def test_leaving_server_that_another_gateway_used_is_avoided(self):
+        """Guards against sending to it once servers can be reached again."""
+        vm = models.Vm("other", "run", "", 1, "a", forward_port=2)
+        async with DispatcherHarness(models.Bounds(drain_s=0.0)) as harness:
+            forward = messages.Forward(vm, None, messages.GroupUnreachable("g"))
+            harness.inbox.post(
+                messages.ForwardFinished(
+                    forward,
+                    messages.ForwardResult.ANSWERED,
+                    None,
+                    leaving_server=harness.server.instance,
+                )
+            )
+            refusal = await harness.place()
+            assert refusal.reason is messages.RefusalReason.NO_SERVER
+
     async def test_forwarded_request_is_refused_at_once(self):
         """Guards against requests that go to and fro between gateways."""
         vm = models.Vm("other", "run", "", 1, "a", forward_port=2)
--- a/tests/gateway/forwarding/test_codec.py
+++ b/tests/gateway/forwarding/test_codec.py
@@ -3,6 +3,7 @@
 import pytest
 import result
 
+from berylweir.gateway import models
 from berylweir.gateway.exchange import models as exchange
 from berylweir.gateway.forwarding import codec
 from berylweir.platform import requests
@@ -68,7 +69,7 @@
     def test_kind_is_kept_and_its_header_removed(self, kind):
         """Guards against taking a refusal for a response of a server."""
         answer = exchange.Answer(503, ((b"retry-after", b"0.250"),), b"")
-        sent = codec.add_kind(
+        sent = codec.add_headers(
             exchange.Answer(503, answer.headers, b"", kind=kind)
         )
         head, decoded_kind = codec.decode_response(503, sent.headers)
@@ -80,3 +81,18 @@
         """Guards against taking a later version's answer for a response."""
         for headers in ((), ((requests.FORWARDED_OUTCOME, b"other"),)):
             assert codec.decode_response(200, headers)[1] is None
+
+    def test_leaving_server_is_named_to_the_gateway_only(self):
+        """Guards against a VM that sends to a server it heard was leaving."""
+        server = models.ServerInstance("s/1", 1700000000000)
+        sent = codec.add_headers(
+            exchange.Answer(200, (), b"", leaving_server=server)
+        )
+        assert codec.decode_leaving_server(sent.headers) == server
+        assert codec.decode_response(200, sent.headers)[0].headers == ()
+
+    @pytest.mark.parametrize("value", [b"", b"s1", b"x/s1", b"-1/s1"])
+    def test_malformed_leaving_server_is_ignored(self, value):
+        """Guards against an answer that ends the request."""
+        headers = ((requests.FORWARDED_LEAVING, value),)
+        assert codec.decode_leaving_server(headers) is None
--- a/tests/gateway/test_forwarding.py
+++ b/tests/gateway/test_forwarding.py
@@ -176,6 +176,34 @@
             assert (reply.status, reply.body) == (500, b"why")
             assert reply.headers["response-seal"] == "x"
 
+    async def test_leaving_server_gets_no_request_after_the_cut(self):
+        """Guards against use of a server that told another gateway only."""
+        async with start_deployment() as deployment:
+            gateway, _ = split_by_lease(deployment)
+            await cut(deployment, gateway)
+            leaving = deployment.servers["s0"]
+            leaving.is_leaving = True
+
+            async def has_been_told() -> bool:
+                await gateway.ask("/r/1", "t")
+                return (
+                    gateway.metrics.gauges.get("gateway.servers_leaving") == 1
+                )
+
+            await rig.until(has_been_told)
+            deployment.reconnect(gateway)
+
+            async def sends_itself() -> bool:
+                forwarded = count(gateway, "answered")
+                await gateway.ask("/r/1", "b")
+                return count(gateway, "answered") == forwarded
+
+            await rig.until(sends_itself)
+            arrived = len(leaving.arrivals)
+            for number in range(10):
+                await gateway.ask("/r/1", f"a{number}")
+            assert len(leaving.arrivals) == arrived
+
     async def test_rejected_request_is_refused_with_retry_after(self):
         """Guards against taking a rejection for a run."""
         async with start_deployment("unsafe") as deployment:
