Keep to the wait before a lease is taken over

Cause: any change, also one of the registered gateways or the release itself, ended the wait before a takeover, which then went on as if the wait had passed. So the order of succession and the delay of an isolated gateway had no effect when something changed.

Change: the wait ends early only if the lease changes. The new test fails without it: the gateway that handed over holds the lease again.

--- a/berylweir/gateway/ownership/lease.py
+++ b/berylweir/gateway/ownership/lease.py
@@ -490,8 +490,12 @@
         delay_s = self._succession.takeover_delay_s(lease, clock.boot_s())
         if lease is None:
             delay_s += _FIRST_LEASE_DELAY_S
-        if await self._wait_for_change(delay_s) and self._lease is not lease:
-            return
+        take_over_s = clock.boot_s() + delay_s
+        while (
+            self._lease is lease
+            and (remaining_s := take_over_s - clock.boot_s()) > 0.0
+        ):
+            await self._wait_for_change(remaining_s)
         if self._lease is not lease or not self._is_holder_lost():
             return
         if (
--- a/tests/gateway/ownership/test_lease.py
+++ b/tests/gateway/ownership/test_lease.py
@@ -305,6 +305,19 @@
                 lambda: self.read_lease(lease_store)["holder"] == "me"
             )
 
+    async def test_a_change_does_not_shorten_the_wait_before_a_takeover(self):
+        """Guards against an isolated holder that takes the lease back."""
+        async with self.run_manager("me") as (manager, lease_store, _):
+            await rig.until(lambda: manager.may_act)
+            manager.hand_over([])
+            await rig.until(
+                lambda: self.read_lease(lease_store)["holder"] == ""
+            )
+            for _ in range(10):
+                manager.update_vms({n: vm(n) for n in ("me", "other")})
+                await asyncio.sleep(0.05)
+            assert self.read_lease(lease_store)["holder"] == ""
+
     async def test_a_gateway_that_handed_over_ignores_an_offer(self):
         """Guards against a lease that moves to and fro."""
         async with self.run_manager("me") as (manager, lease_store, _):
