Name the counters of both listeners literally

The listener says who connects to it, and counter_of names the counter, as for the rejections of keepers. tests/docs passes; the names are unchanged.

--- a/berylweir/gateway/ingress/task.py
+++ b/berylweir/gateway/ingress/task.py
@@ -2,7 +2,9 @@
 
 import asyncio
 import dataclasses
+import enum
 import logging
+import typing
 
 from berylweir.gateway import models
 from berylweir.gateway.exchange import handler
@@ -30,18 +32,25 @@
 _MAX_OWN_HEADER_BYTES = 1024
 
 
+class Peer(enum.Enum):
+    """Who connects to a listener."""
+
+    CALLERS = "callers"
+    GATEWAYS = "gateways"
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Listener:
     """What an ingress listens for.
 
     Attributes:
-        name: Name for the log and the counters.
+        peer: Who connects to it.
         address: Host and port.
         decode_head: Decodes the head of a request and its origin.
         own_header_bytes: Size of headers that a gateway has added, in bytes.
     """
 
-    name: str
+    peer: Peer
     address: tuple[str, int]
     decode_head: protocol.DecodeHead
     own_header_bytes: int = 0
@@ -50,20 +59,31 @@
 def caller_listener(environment: models.Environment) -> Listener:
     """Returns the listener for callers."""
     return Listener(
-        "connection", environment.caller_address, codec.decode_caller_request
+        Peer.CALLERS, environment.caller_address, codec.decode_caller_request
     )
 
 
 def gateway_listener(environment: models.Environment) -> Listener:
     """Returns the listener for requests that other gateways forward."""
     return Listener(
-        "forward_connection",
+        Peer.GATEWAYS,
         (environment.host, environment.forward_port),
         codec.decode_forwarded_request,
         _MAX_OWN_HEADER_BYTES,
     )
 
 
+def counter_of(peer: Peer) -> str:
+    """Returns the name of the counter of accepted connections."""
+    match peer:
+        case Peer.CALLERS:
+            return "gateway.connection"
+        case Peer.GATEWAYS:
+            return "gateway.forward_connection"
+        case _:
+            typing.assert_never(peer)
+
+
 class Ingress:
     """Owns a listening socket and the connections that it accepts.
 
@@ -134,7 +154,7 @@
         self._draining.set()
 
     def _accept(self) -> protocol.CallerConnection:
-        self._metrics.count(f"gateway.{self._listener.name}")
+        self._metrics.count(counter_of(self._listener.peer))
         connection = protocol.CallerConnection(
             self._handle_request,
             self._is_idempotent,
@@ -202,7 +222,7 @@
         _LOGGER.info(
             "ingress closed",
             extra={
-                "listener": self._listener.name,
+                "listener": self._listener.peer.value,
                 "connections": len(self._connections),
             },
         )
