Log how an attempt ended, and a fingerprint of the request

The line now has the result of the attempt and a hash of method, host, target, key, credentials and body, which repeats have in common.

--- /dev/null
+++ b/berylweir/crash_suspects/__init__.py
@@ -0,0 +1,1 @@
+"""Recognises requests that crash the backend servers that run them."""
--- a/berylweir/gateway/exchange/attempt.py
+++ b/berylweir/gateway/exchange/attempt.py
@@ -51,9 +51,15 @@
         self._placement = placement
         self._connection = placement.connection
         self._is_finished = False
+        self._result = messages.AttemptResult.ABANDONED
         self._response_head: requests.ResponseHead | None = None
         self._loop = asyncio.get_running_loop()
 
+    @property
+    def result(self) -> messages.AttemptResult:
+        """How the attempt ended, or would end if the body is complete."""
+        return self._result
+
     async def run(self, request: exchange.CallerRequest) -> outcomes.Outcome:
         """Sends the request and returns the outcome.
 
@@ -64,6 +70,7 @@
         is_streaming = False
         try:
             outcome, attempt_result = await self._send_request(request)
+            self._result = attempt_result
             match outcome:
                 case outcomes.Answered(answer) if (
                     answer.remaining_body is not None
--- a/berylweir/gateway/exchange/handler.py
+++ b/berylweir/gateway/exchange/handler.py
@@ -4,6 +4,7 @@
 import logging
 import typing
 
+from berylweir.crash_suspects import fingerprint
 from berylweir.gateway import messages
 from berylweir.gateway import models
 from berylweir.gateway.dispatch import task as dispatch
@@ -97,9 +98,10 @@
         deadline_s = request.head_received_s + timeout_ms / 1000.0
         loop = asyncio.get_running_loop()
         limited = _limit_sending(request, route, deadline_s)
+        request_fingerprint = request.fingerprint()
         while True:
             requirements = self._build_requirements(
-                request, route, group, state, deadline_s
+                request, route, group, state, deadline_s, request_fingerprint
             )
             if deadline_s <= loop.time():
                 return self._answers.answer_timeout(request, route, state)
@@ -196,9 +198,8 @@
         placement: messages.Placement,
         state: exchange.RequestState,
     ) -> outcomes.Step:
-        outcome = await attempt.Attempt(
-            self._inbox, requirements, placement
-        ).run(request)
+        sending = attempt.Attempt(self._inbox, requirements, placement)
+        outcome = await sending.run(request)
         state.tried_instances |= {placement.server.instance}
         match outcome:
             case outcomes.NotSent():
@@ -232,7 +233,9 @@
                 "server": placement.server.name,
                 "load": round(placement.load, 1),
                 "outcome": type(outcome).__name__,
+                "result": sending.result.value,
                 "step": type(step).__name__,
+                "fingerprint": fingerprint.to_text(requirements.fingerprint),
                 "sends": state.sent_attempts,
                 "elapsed_ms": request.elapsed_ms(_now_s()),
             },
@@ -289,6 +292,7 @@
         group: str,
         state: exchange.RequestState,
         deadline_s: float,
+        request_fingerprint: int,
     ) -> messages.ServerRequirements:
         now_s = _now_s()
         key = request.head.key
@@ -312,6 +316,7 @@
                 deadline_s, now_s + max(_MIN_OWNER_WAIT_S, queue_wait_s)
             ),
             deadline_s=deadline_s,
+            fingerprint=request_fingerprint,
         )
 
     async def _find_server(
--- a/berylweir/gateway/exchange/models.py
+++ b/berylweir/gateway/exchange/models.py
@@ -6,6 +6,7 @@
 import typing
 
 from berylweir import records
+from berylweir.crash_suspects import fingerprint
 from berylweir.gateway import models
 from berylweir.platform import requests
 
@@ -54,6 +55,22 @@
     head_received_s: float
     origin: Origin = FromCaller()
 
+    def fingerprint(self) -> int:
+        """Returns a hash that all repeats of this request have in common.
+
+        The caller's address is left out: servers don't see it, and a caller
+        may come back by another way.
+        """
+        head = self.head
+        return fingerprint.compute(
+            head.method.encode("latin-1"),
+            head.host.encode("latin-1"),
+            head.target,
+            b"" if head.key is None else b"%d" % head.key,
+            head.credentials,
+            body=self.body,
+        )
+
     def elapsed_ms(self, now_s: float) -> float:
         """Returns the time since the head was complete, in ms.
 
--- a/berylweir/gateway/messages.py
+++ b/berylweir/gateway/messages.py
@@ -112,6 +112,7 @@
         may_forward: Whether another gateway may get the request; False if
             this gateway received it from another one.
         tried_vms: Names of the VMs to which it was forwarded.
+        fingerprint: Hash that repeats of the request have in common.
     """
 
     request_id: str
@@ -130,6 +131,7 @@
     unsent_attempts: int = 0
     may_forward: bool = True
     tried_vms: frozenset[str] = frozenset()
+    fingerprint: int = 0
 
     @property
     def was_forwarded(self) -> bool:
--- a/berylweir/platform/requests.py
+++ b/berylweir/platform/requests.py
@@ -15,6 +15,7 @@
 _REQUEST_ID = b"request-id"
 _DEADLINE = b"deadline-ms"
 _SHARD_KEY = b"shard-key"
+_CREDENTIALS = b"authorization"
 _EXPECTED_SERVER = b"expect-instance"
 _SIGNATURE = b"response-seal"
 _NOT_RUN = b"not-run"
@@ -94,6 +95,8 @@
         key: Shard key, for groups whose servers own keys; None if it is
             absent or out of range.
         headers: Headers to forward.
+        credentials: What identifies the caller to the servers; empty if the
+            request has no credentials.
     """
 
     request_id: str
@@ -104,6 +107,7 @@
     deadline_ms: float | None
     key: int | None
     headers: tuple[Header, ...]
+    credentials: bytes = b""
 
 
 def decode_request(
@@ -120,6 +124,7 @@
     host = b""
     deadline_ms: float | None = None
     key: int | None = None
+    credentials = b""
     forwarded: list[Header] = []
     for name, value in headers:
         if name == _REQUEST_ID:
@@ -132,6 +137,8 @@
             number = _parse_number(value)
             if number is not None and 0 <= number < models.KEY_COUNT:
                 key = int(number)
+        elif name == _CREDENTIALS:
+            credentials = value
         if name not in _UNFORWARDED_REQUEST_HEADERS:
             forwarded.append((name, value))
     return RequestHead(
@@ -143,6 +150,7 @@
         deadline_ms,
         key,
         tuple(forwarded),
+        credentials,
     )
 
 
