Add failing tests of requests that crash the servers that run them

A stand-in server can end under a request, and comes back as another instance. With three gateways and a request that is sent anew every 0.15 s, 8 of 8 servers end under it, safe or not; an owner of keys, and each next owner, ends as well. Two tests of harmless requests, in flight at many crashes at once or at a gateway that loses its links, pass today and guard the fix.

--- a/berylweir/standin/gateway_platform/server.py
+++ b/berylweir/standin/gateway_platform/server.py
@@ -11,6 +11,8 @@
 from berylweir.standin.gateway_platform import http
 
 _NOT_RUN = {"Not-Run": "1"}
+# Time from the start of a request that crashes the server to the crash.
+_CRASH_AFTER_S = 0.04
 
 
 @dataclasses.dataclass(slots=True)
@@ -84,6 +86,8 @@
             rejection, in seconds; None to ask for none.
         is_rejecting: Whether it rejects all requests as if it were full.
         in_flight: Number of requests that it is executing.
+        crashing_paths: Paths of requests that end it soon after their start.
+        on_crash: Called to end it.
         choose_grant_delay_s: Returns the delay of a grant in seconds, or None
             to apply it at once. A delayed grant gets no response.
     """
@@ -117,6 +121,8 @@
         self.rejection_pause_s: float | None = None
         self.is_rejecting = False
         self.in_flight = 0
+        self.crashing_paths: frozenset[str] = frozenset()
+        self.on_crash: Callable[[], None] = lambda: None
         self.choose_grant_delay_s: Callable[[], float | None] = lambda: None
         self._slots = slots
         self._is_keyed = is_keyed
@@ -221,6 +227,9 @@
         if key is not None:
             self._in_flight_by_key[key] = self._in_flight_by_key.get(key, 0) + 1
         try:
+            if request.path in self.crashing_paths:
+                await asyncio.sleep(_CRASH_AFTER_S)
+                self.on_crash()
             await asyncio.sleep(self.service_s)
         finally:
             self.in_flight -= 1
--- a/tests/gateway/rig.py
+++ b/tests/gateway/rig.py
@@ -21,6 +21,7 @@
 from berylweir.platform import store
 from berylweir.router.backends import connection as http_client
 from berylweir.standin import ports
+from berylweir.standin.gateway_platform import hosting
 from berylweir.standin.gateway_platform import http
 from berylweir.standin.gateway_platform import server as server_standin
 from berylweir.standin.gateway_platform import store as store_standin
@@ -224,6 +225,7 @@
         self._stack = contextlib.AsyncExitStack()
         self.cut_off: set[str] = set()
         self.unanswered: set[str] = set()
+        self.unwritable: set[str] = set()
         self.store_calls: dict[str, list[str]] = {}
         self._cuts: dict[str, Cut] = {}
         self._connect = http_client.connect
@@ -299,17 +301,47 @@
         )
         return server
 
+    async def add_host(
+        self,
+        name: str,
+        group: str,
+        *,
+        zone: str = "a",
+        timing: hosting.Timing | None = None,
+        crashing_paths: frozenset[str] = frozenset(),
+        **options,
+    ) -> hosting.ServerHost:
+        """Starts a server that can end, and comes back as another one."""
+
+        def build_server(instance: str) -> server_standin.Server:
+            server = server_standin.Server(instance, **options)
+            server.crashing_paths = crashing_paths
+            return server
+
+        def build_spec(instance: str, port: int) -> dict[str, object]:
+            return server_standin.server_spec(instance, group, port, zone=zone)
+
+        host = hosting.ServerHost(
+            name, self.store, build_spec, build_server, timing
+        )
+        await host.start(self._stack)
+        self.ports[name] = host.port
+        return host
+
     async def add_gateway(self, name: str = "vm-1", zone: str = "a") -> Gateway:
         """Starts a gateway and waits until it is ready.
 
         The store refuses the gateway's calls while its name is in `cut_off`,
-        and doesn't answer them while it is in `unanswered`.
+        and doesn't answer them while it is in `unanswered`. It refuses only
+        writes while the name is in `unwritable`.
         """
         calls = self.store_calls.setdefault(name, [])
 
         async def handle(request: http.Request) -> http.Response:
             calls.append(f"{request.method} {request.path}")
-            if name in self.cut_off:
+            if name in self.cut_off or (
+                name in self.unwritable and request.method != "GET"
+            ):
                 return http.Response(503)
             response = await self.store.handle(request)
             if name in self.unanswered:
--- /dev/null
+++ b/tests/gateway/test_crashing_requests.py
@@ -0,0 +1,201 @@
+"""Tests of requests that crash the servers that run them."""
+
+import asyncio
+import random
+
+from berylweir.standin.gateway_platform import hosting
+from tests.gateway import rig as rigs
+
+_HARMFUL = "/r/harmful"
+_CRASHING = frozenset({_HARMFUL, "/k/harmful"})
+# Reason that the body of a refusal states.
+_REASON = b"crashes servers"
+_REPEAT_INTERVAL_S = 0.15
+# Servers that one request may end, if it is sent again after each failure.
+_MAX_ENDED = 3
+
+
+def runs_of(hosts, path):
+    """Returns the executions of a path at all instances."""
+    return [
+        run
+        for host in hosts
+        for server in host.instances
+        for run in server.executions
+        if run.path == path
+    ]
+
+
+async def send_repeatedly(gateways, path, count, **options):
+    """Sends a request anew, with a new id, to random gateways.
+
+    Returns:
+        The replies in their order.
+    """
+    rng = random.Random(1)
+    replies = []
+    for number in range(count):
+        reply = await rng.choice(gateways).ask(path, f"h{number}", **options)
+        replies.append(reply)
+        await asyncio.sleep(_REPEAT_INTERVAL_S)
+    return replies
+
+
+async def knows_harmful(gateway):
+    """Returns whether a gateway refuses the harmful request."""
+    reply = await gateway.ask("/r/elsewhere", "k")
+    return (
+        reply.status == 200
+        and gateway.metrics.gauges.get("gateway.quarantined_requests", 0) > 0
+    )
+
+
+async def serves_itself(gateway):
+    """Returns whether a gateway reaches servers, and serves a request."""
+    reply = await gateway.ask("/r/probe", "p")
+    return reply.status == 200
+
+
+class TestRepeatedHarmfulRequest:
+    """A request that crashes each server, and is sent again and again."""
+
+    async def test_request_that_crashed_three_servers_crashes_more(self):
+        """Guards against one request that ends server after server."""
+        async with rigs.Rig() as rig:
+            await rig.configure({"g": False}, [rigs.route("r", "g")])
+            hosts = [
+                await rig.add_host(f"s{n}", "g", crashing_paths=_CRASHING)
+                for n in range(8)
+            ]
+            gateways = [await rig.add_gateway(f"vm-{n}") for n in range(3)]
+            replies = await send_repeatedly(gateways, _HARMFUL, 16)
+            assert len(runs_of(hosts, _HARMFUL)) <= _MAX_ENDED
+            assert [r.status for r in replies[-8:]] == 8 * [503]
+            assert all("retry-after" in r.headers for r in replies[-8:])
+            lookup = await gateways[0].ask("/r/lookup", "l")
+            assert lookup.status == 200
+
+    async def test_unsafe_request_crashes_more_servers(self):
+        """Guards against watching only requests that may be retried."""
+        async with rigs.Rig() as rig:
+            route = rigs.route("r", "g", kind="unsafe")
+            await rig.configure({"g": False}, [route])
+            hosts = [
+                await rig.add_host(f"s{n}", "g", crashing_paths=_CRASHING)
+                for n in range(8)
+            ]
+            gateways = [await rig.add_gateway(f"vm-{n}") for n in range(3)]
+            replies = await send_repeatedly(
+                gateways, _HARMFUL, 10, method="POST", body=b"order"
+            )
+            assert len(runs_of(hosts, _HARMFUL)) == _MAX_ENDED
+            assert replies[-1].status == 503
+            other = await gateways[0].ask(
+                "/r/other", "o", method="POST", body=b"order"
+            )
+            assert other.status == 200
+
+    async def test_keyed_request_crashes_each_next_owner(self):
+        """Guards against crashing the servers that get a crashed one's keys."""
+        async with rigs.Rig() as rig:
+            await rig.configure({"k": True}, [rigs.route("k", "k")])
+            hosts = [
+                await rig.add_host(
+                    f"s{n}", "k", crashing_paths=_CRASHING, is_keyed=True
+                )
+                for n in range(6)
+            ]
+            gateways = [await rig.add_gateway(f"vm-{n}") for n in range(2)]
+
+            def is_owned():
+                return any(h.instances[-1].holds(7) for h in hosts if h.is_up)
+
+            ended = 0
+            for number in range(6):
+                await rigs.until(is_owned)
+                reply = await gateways[number % 2].ask(
+                    "/k/harmful", f"h{number}", headers="Shard-Key: 7\r\n"
+                )
+                ended = len(runs_of(hosts, "/k/harmful"))
+                if ended >= _MAX_ENDED and reply.status == 503:
+                    break
+            await rigs.until(is_owned)
+            reply = await gateways[1].ask(
+                "/k/harmful", "last", headers="Shard-Key: 7\r\n"
+            )
+            assert reply.status == 503
+            assert len(runs_of(hosts, "/k/harmful")) <= _MAX_ENDED
+
+    async def test_gateway_that_has_just_started_sends_it(self):
+        """Guards against a new VM that knows nothing, with the store away."""
+        async with rigs.Rig() as rig:
+            await rig.configure({"g": False}, [rigs.route("r", "g")])
+            hosts = [
+                await rig.add_host(f"s{n}", "g", crashing_paths=_CRASHING)
+                for n in range(8)
+            ]
+            gateways = [await rig.add_gateway(f"vm-{n}") for n in range(2)]
+            rig.unwritable |= {"vm-0", "vm-1"}
+            await send_repeatedly(gateways, _HARMFUL, 10)
+            ended = len(runs_of(hosts, _HARMFUL))
+            newcomer = await rig.add_gateway("vm-new")
+            await rigs.until(lambda: knows_harmful(newcomer))
+            await send_repeatedly([newcomer], _HARMFUL, 4)
+            assert ended <= _MAX_ENDED
+            assert len(runs_of(hosts, _HARMFUL)) == ended
+
+
+class TestHarmlessRequest:
+    """Requests that were in flight when servers ended for other reasons."""
+
+    async def test_hot_request_is_refused_after_crashes_of_many_servers(self):
+        """Guards against refusing what was in flight at several crashes."""
+        async with rigs.Rig() as rig:
+            await rig.configure({"g": False}, [rigs.route("r", "g")])
+            timing = hosting.Timing(lapse_s=0.5, restart_s=1.0)
+            hosts = [
+                await rig.add_host(f"s{n}", "g", timing=timing, service_s=0.05)
+                for n in range(10)
+            ]
+            gateways = [await rig.add_gateway(f"vm-{n}") for n in range(3)]
+            is_over = False
+            bodies = []
+
+            async def look_up(number):
+                caller = await gateways[number % 3].connect()
+                while not is_over:
+                    caller.send("/r/hot", f"l{number}-{len(bodies)}")
+                    reply = await caller.read()
+                    bodies.append(reply.body)
+                caller.writer.close()
+
+            callers = [asyncio.create_task(look_up(n)) for n in range(12)]
+            for first in range(0, 12, 3):
+                await asyncio.sleep(1.2)
+                for number in range(first, first + 3):
+                    hosts[number % 10].end()
+            is_over = True
+            await asyncio.gather(*callers)
+            assert len(runs_of(hosts, "/r/hot")) > 100
+            assert [b for b in bodies if _REASON in b] == []
+
+    async def test_gateway_cut_off_from_servers_suspects_requests(self):
+        """Guards against taking lost links for servers that ended."""
+        async with rigs.Rig() as rig:
+            await rig.configure({"g": False}, [rigs.route("r", "g")])
+            for number in range(6):
+                await rig.add_server(f"s{number}", "g", service_s=0.1)
+            gateways = [await rig.add_gateway(f"vm-{n}") for n in range(2)]
+            for _ in range(5):
+                lookups = [
+                    asyncio.create_task(gateways[0].ask("/r/slow", f"a{n}"))
+                    for n in range(6)
+                ]
+                await asyncio.sleep(0.05)
+                rig.cut_from_servers(gateways[0], rigs.Cut.REFUSED)
+                replies = await asyncio.gather(*lookups)
+                assert [r for r in replies if _REASON in r.body] == []
+                rig.reconnect(gateways[0])
+                await rigs.until(lambda: serves_itself(gateways[0]))
+            for gateway in gateways:
+                assert (await gateway.ask("/r/slow", "last")).status == 200
