Measure what a request that crashes servers costs the other callers

make crashes runs real gateways against stand-ins: one request that ends each server, sent anew every 0.15 s, or 3 of 10 servers that end at once, beside look-ups of one frequent path.

--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 BIN := $(BERYLWEIR_VENV)/bin
 STAMP := $(BERYLWEIR_VENV)/.installed
 
-.PHONY: run test lint format bench bench-hop bench-idle slopes limits soak soak-programs history recovery rollout report
+.PHONY: run test lint format bench bench-hop bench-idle crashes slopes limits soak soak-programs history recovery rollout report
 
 $(STAMP): pyproject.toml
 	test -x $(BIN)/python || python3 -m venv $(BERYLWEIR_VENV)
@@ -31,6 +31,9 @@
 report: $(STAMP)
 	$(BIN)/berylweir-replay report
 
+crashes: $(STAMP)
+	$(BIN)/python -m bench.crashes
+
 slopes: $(STAMP)
 	$(BIN)/python -m bench.slopes
 
