Send a request that crashes servers in soaks, and run builds in turn

The soak had no request that ends servers, so it couldn't have found that one does so for as long as it is sent; nor could it run two builds side by side.

Each server that runs it ends, refuses connections for 3 s and comes back as another instance.

--- a/berylweir/soak/gateways.py
+++ b/berylweir/soak/gateways.py
@@ -1,6 +1,7 @@
 """Gateway programs that run as processes, and faults of these processes."""
 
 import asyncio
+from collections.abc import Sequence
 import contextlib
 import os
 import pathlib
@@ -17,7 +18,11 @@
     """The gateway of one VM, whose program may be started several times."""
 
     def __init__(
-        self, vm: int, store_port: int, directory: pathlib.Path
+        self,
+        vm: int,
+        store_port: int,
+        directory: pathlib.Path,
+        builds: Sequence[pathlib.Path] = (),
     ) -> None:
         """Chooses free ports and writes the settings file of the gateway.
 
@@ -25,7 +30,11 @@
             vm: Number of the VM.
             store_port: TCP port on loopback of the proxy to the store.
             directory: Directory for the settings file and the log file.
+            builds: Source trees of the builds that the VM runs in turn, from
+                one start to the next; none for the build of this process. Half
+                of the VMs begin with the first one, the others with the next.
         """
+        self._builds = builds
         self._vm = vm
         self._port, ready_port, peer_port, self._metrics_port = (
             ports.free_ports(4)
@@ -51,6 +60,16 @@
         """Number of the VM."""
         return self._vm
 
+    @property
+    def _build(self) -> pathlib.Path | None:
+        """Source tree of the current instance; None for that of this process.
+
+        The program is imported from its working directory.
+        """
+        if not self._builds:
+            return None
+        return self._builds[(self._vm + self._instance) % len(self._builds)]
+
     @property
     def instance(self) -> int:
         """Number of the program's current instance; 0 before the first."""
@@ -140,6 +159,7 @@
                 str(self._metrics_port),
                 stdout=log_file,
                 stderr=log_file,
+                cwd=self._build,
                 env=os.environ
                 | {settings.SETTINGS_PATH_VARIABLE: str(self._settings_path)},
             )
--- a/berylweir/soak/program.py
+++ b/berylweir/soak/program.py
@@ -20,6 +20,8 @@
     vms: int = runner.DEFAULT_VMS,
     isolation: bool = False,
     check_isolated: bool = False,
+    harmful: bool = False,
+    builds: list[pathlib.Path] | None = None,
 ) -> None:
     """Runs one soak of the gateway programs and prints the violations.
 
@@ -34,6 +36,9 @@
             store and the other gateways reach them.
         check_isolated: Whether it is a violation if they then serve too few
             requests.
+        harmful: Also send a request that ends each server that runs it.
+        builds: Source trees of the builds that each gateway runs in turn, from
+            one start to the next; by default that of this program.
     """
     logging.basicConfig(level=logging.INFO, format="%(message)s")
     with tempfile.TemporaryDirectory() as temporary:
@@ -46,10 +51,14 @@
             vms,
             has_isolations=isolation,
             checks_isolated=check_isolated,
+            has_harmful_request=harmful,
+            builds=[build.resolve() for build in builds or ()],
         )
         violations = asyncio.run(_run_soak(soak_run))
     for violation in violations:
         print(violation)
+    if harmful:
+        print(f"seed {seed}: {soak_run.ended_by_harmful} servers ended")
     if isolation:
         print(f"seed {seed}: {soak_run.isolated_counts}")
     print(f"seed {seed}: {len(violations)} broken")
--- a/berylweir/soak/proxy.py
+++ b/berylweir/soak/proxy.py
@@ -9,6 +9,7 @@
 import struct
 
 from berylweir.soak import models
+from berylweir.standin import ports
 
 _READ_BYTES = 65_536
 # Delay of each chunk read while `LinkFault.DELAY` is active.
@@ -49,16 +50,37 @@
         # The sockets of both sides of each connection, with its VM.
         self._writers: dict[asyncio.StreamWriter, int | None] = {}
         self._fault_end_event = asyncio.Event()
+        self._listener: asyncio.Server | None = None
+        self._port = 0
 
     async def listen(self, stack: contextlib.AsyncExitStack) -> int:
         """Listens until `stack` closes; returns the TCP port to connect to."""
-        server = await asyncio.start_server(
-            self._handle_connection, "127.0.0.1", 0
+        self._port = ports.free_ports(1)[0]
+        await self._start_listening()
+        stack.callback(self._stop_listening)
+        return self._port
+
+    async def refuse(self, duration_s: float) -> None:
+        """Resets all connections, and refuses new ones for a time.
+
+        That is what the end of the process behind the proxy looks like.
+
+        Args:
+            duration_s: How long connections are refused, in seconds.
+        """
+        self._stop_listening()
+        await asyncio.sleep(duration_s)
+        await self._start_listening()
+
+    async def _start_listening(self) -> None:
+        self._listener = await asyncio.start_server(
+            self._handle_connection, "127.0.0.1", self._port
         )
-        stack.callback(self._reset_connections)
-        stack.callback(server.close)
-        address: tuple[str, int] = server.sockets[0].getsockname()
-        return address[1]
+
+    def _stop_listening(self) -> None:
+        if self._listener is not None:
+            self._listener.close()
+        self._reset_connections()
 
     async def inject(
         self,
--- a/berylweir/soak/runner.py
+++ b/berylweir/soak/runner.py
@@ -4,6 +4,7 @@
 import collections
 from collections.abc import Sequence
 import contextlib
+import functools
 import logging
 import pathlib
 import signal
@@ -14,6 +15,7 @@
 from berylweir.soak import checks
 from berylweir.soak import fault_schedule
 from berylweir.soak import gateways
+from berylweir.soak import harmful_request
 from berylweir.soak import isolation_checks
 from berylweir.soak import models
 from berylweir.soak import origins
@@ -30,6 +32,10 @@
 _SERVERS_PER_GROUP = 4
 # Time that a server takes for a request.
 _SERVICE_S = 0.02
+# Time from the crash of a server until its entry lapses, and until it is back,
+# in seconds.
+_ENTRY_LAPSE_S = 1.0
+_CRASH_DOWNTIME_S = 3.0
 # Signals that end a process whose program hasn't installed a handler yet.
 _TERMINATING_SIGNALS = (signal.SIGTERM, signal.SIGHUP)
 # Keys that are checked for having more than one owner.
@@ -60,6 +66,8 @@
         *,
         has_isolations: bool = False,
         checks_isolated: bool = False,
+        has_harmful_request: bool = False,
+        builds: Sequence[pathlib.Path] = (),
     ) -> None:
         """Creates a soak that has not started.
 
@@ -71,8 +79,15 @@
             has_isolations: Whether gateways are cut off from all servers.
             checks_isolated: Whether it is a violation if isolated gateways
                 serve too few requests.
+            has_harmful_request: Whether a caller sends a request that ends each
+                server that runs it.
+            builds: Source trees of the builds that each gateway runs in turn;
+                none for the build of this process.
         """
+        self._builds = builds
         self._vms = vms
+        self._has_harmful_request = has_harmful_request
+        self._crash_tasks: set[asyncio.Task[None]] = set()
         self._has_isolations = has_isolations
         self._checks_isolated = checks_isolated
         self._isolations: list[models.Isolation] = []
@@ -91,6 +106,8 @@
         self._planned_stops: list[models.PlannedStop] = []
         self._killed_instances: set[tuple[int, int]] = set()
         self._disruptions: list[models.Disruption] = []
+        # Those in which the process of a gateway didn't run.
+        self._interruptions: list[models.Disruption] = []
         # Copies of the store with their times on the monotonic clock.
         self._store_copies: collections.deque[
             tuple[float, store_standin.StoreCopy]
@@ -104,6 +121,11 @@
         """Requests that isolated gateways have served, after `run`."""
         return self._isolated_counts
 
+    @property
+    def ended_by_harmful(self) -> int:
+        """Servers that ended under the request that crashes them."""
+        return harmful_request.count_ended(self._servers)
+
     async def run(self) -> list[str]:
         """Runs the soak; returns a line for each violation of a guarantee."""
         async with contextlib.AsyncExitStack() as stack:
@@ -127,6 +149,11 @@
                 for gateway in self._gateways:
                     check = self._check_configuration_version(gateway)
                     check_tasks.append(group.create_task(check))
+                harmful_caller = harmful_request.HarmfulCaller(
+                    self._gateways, f"{self._seed}/harmful"
+                )
+                if self._has_harmful_request:
+                    check_tasks.append(group.create_task(harmful_caller.run()))
                 fault_task = group.create_task(self._inject_faults())
                 await asyncio.gather(
                     *(
@@ -173,6 +200,9 @@
                 {e.request_id: e.vm for e in exchanges},
                 self._disruptions,
             )
+            + harmful_request.find_violations(
+                self._servers, harmful_caller.vms, self._interruptions
+            )
         )
 
     async def _start_deployment(self, stack: contextlib.AsyncExitStack) -> None:
@@ -186,6 +216,8 @@
             server_proxy = proxy.FaultProxy(
                 await http.listen(stack, server.handle), self._find_vm
             )
+            server.crashing_paths = frozenset({harmful_request.PATH})
+            server.on_crash = functools.partial(self._on_crash, number)
             self._servers.append(server)
             self._server_proxies.append(server_proxy)
             self._server_ports.append(await server_proxy.listen(stack))
@@ -194,7 +226,10 @@
             store_proxy = proxy.FaultProxy(store_port)
             self._store_proxies.append(store_proxy)
             gateway = gateways.Gateway(
-                vm, await store_proxy.listen(stack), self._directory
+                vm,
+                await store_proxy.listen(stack),
+                self._directory,
+                self._builds,
             )
             self._gateways.append(gateway)
             await gateway.start(stack)
@@ -265,17 +300,20 @@
 
     async def _apply_fault(self, fault: models.Fault) -> None:
         start_s = time.monotonic()
-        for vm in _disrupted_vms(fault, self._vms):
-            self._disruptions.append(
-                models.Disruption(vm, start_s, float("inf"))
-            )
+        affected = (
+            (self._disruptions, _disrupted_vms(fault, self._vms)),
+            (self._interruptions, _interrupted_vms(fault)),
+        )
+        for disruptions, vms in affected:
+            disruptions += [
+                models.Disruption(vm, start_s, float("inf")) for vm in vms
+            ]
         await self._run_fault(fault)
         end_s = time.monotonic()
-        for vm in _disrupted_vms(fault, self._vms):
-            self._disruptions.append(models.Disruption(vm, start_s, end_s))
-            self._disruptions.remove(
-                models.Disruption(vm, start_s, float("inf"))
-            )
+        for disruptions, vms in affected:
+            for vm in vms:
+                disruptions.append(models.Disruption(vm, start_s, end_s))
+                disruptions.remove(models.Disruption(vm, start_s, float("inf")))
 
     async def _run_fault(self, fault: models.Fault) -> None:
         match fault:
@@ -332,6 +370,26 @@
             case _:
                 typing.assert_never(fault)
 
+    def _on_crash(self, number: int) -> None:
+        """Ends a server, which comes back as another instance."""
+        task = asyncio.create_task(self._crash_server(number))
+        self._crash_tasks.add(task)
+        task.add_done_callback(self._crash_tasks.discard)
+
+    async def _crash_server(self, number: int) -> None:
+        server = self._servers[number]
+        server.restart()
+        async with asyncio.TaskGroup() as group:
+            group.create_task(
+                self._server_proxies[number].refuse(_CRASH_DOWNTIME_S)
+            )
+            await asyncio.sleep(_ENTRY_LAPSE_S)
+            if self._store.get("servers", server.name) is not None:
+                await self._store.remove("servers", server.name)
+        server.restart()
+        self._server_starts[number] += 1
+        await self._register_server(number)
+
     async def _isolate(self, fault: models.Isolate) -> None:
         """Cuts gateways off from all servers for some time."""
         start_s = time.monotonic() - self._started_s
@@ -480,6 +538,15 @@
         return response.status == 200
 
 
+def _interrupted_vms(fault: models.Fault) -> Sequence[int]:
+    """Returns the VMs whose gateways a fault restarts or freezes."""
+    match fault:
+        case models.Kill(vm, _) | models.Stop(vm) | models.Freeze(vm, _):
+            return (vm,)
+        case _:
+            return ()
+
+
 def _disrupted_vms(fault: models.Fault, vms: int) -> Sequence[int]:
     """Returns the VMs whose gateways a fault restarts, freezes or cuts off."""
     match fault:
--- a/berylweir/soak/statement_checks.py
+++ b/berylweir/soak/statement_checks.py
@@ -90,7 +90,7 @@
         if (
             arrival.arrived_s >= named_s + _LIMIT_GRACE_S
             and told_s.get(vm, float("inf")) <= arrival.arrived_s
-            and not _is_disrupted(
+            and not is_disrupted(
                 [d for d in disruptions if d.vm == vm],
                 named_s,
                 arrival.arrived_s,
@@ -132,7 +132,7 @@
                 continue
             first_s = arrival.arrived_s + _HEARD_AFTER_S
         late_s = arrival.arrived_s - first_s - drain_s
-        if late_s > 0 and not _is_disrupted(
+        if late_s > 0 and not is_disrupted(
             disruptions, first_s - _HEARD_AFTER_S, arrival.arrived_s
         ):
             violations.append(
@@ -155,7 +155,7 @@
         in_pause = [
             a for a in arrivals[index + 1 :] if start_s <= a.arrived_s <= end_s
         ]
-        if len(in_pause) > _MAX_REQUESTS_IN_PAUSE and not _is_disrupted(
+        if len(in_pause) > _MAX_REQUESTS_IN_PAUSE and not is_disrupted(
             disruptions, rejection.arrived_s, end_s
         ):
             violations.append(
@@ -164,7 +164,7 @@
     return violations
 
 
-def _is_disrupted(
+def is_disrupted(
     disruptions: Iterable[models.Disruption], start_s: float, end_s: float
 ) -> bool:
     """Returns whether a disruption overlaps a time."""
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -55,6 +55,13 @@
         assert soak.isolated_counts.isolated_sent > 0
         assert soak.isolated_counts.other_served > 0
 
+    async def test_request_that_crashes_servers_is_stopped(
+        self, tmp_path: pathlib.Path
+    ):
+        """Guards against one request that ends servers amid other faults."""
+        soak = runner.Soak(1, _SECONDS, tmp_path, has_harmful_request=True)
+        assert await soak.run() == []
+
 
 class TestFaultSchedule:
     """Schedule of the faults of a soak."""
