Retry a takeover without asking the silent holder anew

Traced from logs: the wait after a restoration, suspected so far, isn't the cause; the store isn't restored in these runs. Two of three gateways are killed within 2.2 s, and the store's faults, which wait to be used up, leave the third one's calls unanswered until the end of the run. Each failed write of the lease made it forget that the holder is silent, so it asked twice more before the next try, 2.2 s later.

A failed write now says nothing of a holder that doesn't respond; the next try follows after 0.4 s, doubling to 1.6 s, and the check with the other gateways. A holder that does respond is asked again, as before. Two tests of the monitor failed before.

--- a/berylweir/gateway/ownership/holder_monitor.py
+++ b/berylweir/gateway/ownership/holder_monitor.py
@@ -10,6 +10,8 @@
 # as failed, in seconds. The new holder is busy then: it sends requests to all
 # other gateways and grants all keys, which can keep a slow VM busy this long.
 _NEW_HOLDER_GRACE_S = 2.0
+# Failed takeovers that are counted; each doubles the pause before the next one.
+_MAX_FAILED_TAKEOVERS = 2
 
 
 class HolderMonitor:
@@ -18,6 +20,7 @@
     def __init__(self) -> None:
         """Creates the monitor of a gateway that hasn't reported yet."""
         self._failed_reports = 0
+        self._failed_takeovers = 0
         self._is_replacing = False
         self._responded_s = float("-inf")
         self._lease_changed_s = float("-inf")
@@ -42,8 +45,14 @@
         """When a holder last responded as such, in seconds."""
         return self._responded_s
 
+    @property
+    def failed_takeovers(self) -> int:
+        """Takeovers in a row that the store didn't answer, up to 2."""
+        return self._failed_takeovers
+
     def record_lease_change(self, now_s: float) -> None:
         """Starts to monitor the holder of another lease."""
+        self._failed_takeovers = 0
         self._lease_changed_s = now_s
         self.reset()
 
@@ -88,6 +97,18 @@
         """Records that the holder seems to be alive."""
         self._failed_reports = 0
 
+    def record_failed_takeover(self) -> None:
+        """Records that the store didn't take the lease of this gateway.
+
+        That says nothing of a holder that doesn't respond. One that responds
+        may have reached the store meanwhile, so it is asked again.
+        """
+        self._failed_takeovers = min(
+            self._failed_takeovers + 1, _MAX_FAILED_TAKEOVERS
+        )
+        if self._is_replacing:
+            self.reset()
+
     def reset(self) -> None:
         """Discards all responses but the time of the last one."""
         self._failed_reports = 0
--- a/berylweir/gateway/ownership/lease.py
+++ b/berylweir/gateway/ownership/lease.py
@@ -530,10 +530,12 @@
                     self.update_lease(stored)
                 await asyncio.sleep(_ACQUIRE_RETRY_S)
             case lease_store.NotWritten(failure):
-                self._holder.reset()
+                self._holder.record_failed_takeover()
                 self._metrics.count("lease.not_taken")
                 _LOGGER.warning("lease not taken", extra={"failure": failure})
-                await asyncio.sleep(_ACQUIRE_RETRY_S)
+                await asyncio.sleep(
+                    _ACQUIRE_RETRY_S * 2.0**self._holder.failed_takeovers
+                )
 
     async def _start_epoch(self) -> None:
         """Starts acting under a lease that this gateway has just acquired."""
--- a/tests/gateway/ownership/test_holder_monitor.py
+++ b/tests/gateway/ownership/test_holder_monitor.py
@@ -59,3 +59,23 @@
         monitor = self.create()
         monitor.record_other_gateway()
         assert monitor.is_lost
+
+    def test_silent_holder_is_taken_for_alive_when_the_store_fails(self):
+        """Guards against keys without an owner while the store is unsteady."""
+        monitor = self.create()
+        for now_s in (100.0, 101.0):
+            monitor.record_no_response(now_s)
+        for _ in range(5):
+            monitor.record_failed_takeover()
+        assert monitor.is_lost
+        assert monitor.failed_takeovers == 2
+        monitor.record_lease_change(110.0)
+        assert monitor.failed_takeovers == 0
+
+    def test_holder_that_responds_is_replaced_without_asking_again(self):
+        """Guards against replacing a holder that reaches the store again."""
+        monitor = self.create()
+        monitor.record_holder(status(60.0), 100.0, is_store_up=True)
+        monitor.record_failed_takeover()
+        assert not monitor.is_lost
+        assert not monitor.is_replacing
