Probe servers only after few of the connections that are lost

A first loss is now followed by a probe at once a second and VM only, and not if a probe has reached the server within the last second. Other losses are remembered for 10 s, and their servers probed if the request loses another connection or is suspected, or if a request can't connect to the server.

--- a/berylweir/gateway/dispatch/connectivity.py
+++ b/berylweir/gateway/dispatch/connectivity.py
@@ -122,9 +122,9 @@
         ):
             self._post_probe(state.server)
 
-    def probe(self, state: dispatch.ServerState) -> None:
+    def probe(self, server: models.BackendServer) -> None:
         """Probes a server whose connection was lost with a request."""
-        self._post_probe(state.server)
+        self._post_probe(server)
 
     def record_result(
         self, finished: messages.AttemptFinished, now_s: float
--- a/berylweir/gateway/dispatch/suspects.py
+++ b/berylweir/gateway/dispatch/suspects.py
@@ -4,10 +4,16 @@
 connections too, and so does a broken link. The server is therefore probed. If
 it refuses the connection, it has ended, and the request is reported; until it
 is known what to think of it, neither its retry nor a repeat is sent.
+
+Overloaded servers reset many connections, and probes would add to their load.
+So only few losses are followed by a probe at once. The others are remembered,
+and their servers are probed if the request loses another connection or is
+suspected, or if a request can't connect to the server.
 """
 
 import collections
 from collections.abc import Callable
+import dataclasses
 import time
 import typing
 
@@ -26,15 +32,32 @@
 # A request that a server completed within this time isn't suspected, in
 # seconds. It spares frequent requests the investigation.
 _RECENTLY_COMPLETED_S = 5.0
+# Time for which a lost connection is remembered, in seconds.
+_LOSS_MEMORY_S = 10.0
+# Probes per second after a first loss in the long run, and at once.
+_PROBE_RATE = 1.0
+_PROBE_BURST = 4.0
+# Time for which a server that a probe reached isn't probed after a first loss,
+# in seconds.
+_PROBED_S = 1.0
 # Completed requests that are remembered; frequent ones stay among them.
 _MAX_COMPLETED = 4096
 # Suspected requests that are remembered; the oldest one is dropped.
 _MAX_SUSPECTED = 1024
 
-_LOST = (messages.AttemptResult.RESET, messages.AttemptResult.BROKEN)
 _Reason = messages.RefusalReason
 
 
+@dataclasses.dataclass(slots=True)
+class _Losses:
+    """Requests whose connection to a server was lost, by fingerprint."""
+
+    server: models.BackendServer
+    ends: dict[int, evidence.ServerEnd] = dataclasses.field(
+        default_factory=dict
+    )
+
+
 class SuspectRequests:
     """Requests that may crash servers, as far as this VM knows."""
 
@@ -44,6 +67,7 @@
         report: Callable[
             [suspects.ServerEnded | suspects.SuspectCompleted], None
         ],
+        probe: Callable[[models.BackendServer], None],
         metrics: counters.Counters,
     ) -> None:
         """Creates a state without suspects.
@@ -51,10 +75,12 @@
         Args:
             vm: Name of this VM.
             report: Posts a message to the task that judges requests.
+            probe: Has a server probed; the result comes to `record_probe`.
             metrics: Counters.
         """
         self._vm = vm
         self._report = report
+        self._probe = probe
         self._metrics = metrics
         self._quarantine = quarantine.Quarantine()
         # Suspected requests; the one that was announced last comes last.
@@ -63,10 +89,11 @@
         )
         self._running: set[int] = set()
         self._investigated_until_s: dict[int, float] = {}
-        # Requests whose connection was lost, by the server that is probed.
-        self._lost: dict[
-            models.ServerInstance, dict[int, evidence.ServerEnd]
-        ] = {}
+        self._losses: dict[models.ServerInstance, _Losses] = {}
+        # When a probe last reached a server.
+        self._probed_s: dict[models.ServerInstance, float] = {}
+        self._probe_tokens = _PROBE_BURST
+        self._probe_tokens_s = 0.0
         # When a server last completed a request; the newest comes last.
         self._completed_s: collections.OrderedDict[int, float] = (
             collections.OrderedDict()
@@ -103,57 +130,108 @@
         finished: messages.AttemptFinished,
         state: dispatch.ServerState | None,
         now_s: float,
-    ) -> bool:
+    ) -> None:
         """Records the end of an attempt.
 
         Args:
             finished: The attempt.
             state: Its server; None if it is no longer registered.
             now_s: Time on the loop's clock, in seconds.
-
-        Returns:
-            Whether the server has to be probed.
         """
         fingerprint = finished.requirements.fingerprint
         if not fingerprint:
-            return False
+            return
         self.end(finished.requirements)
-        if finished.attempt_result is messages.AttemptResult.SERVED:
-            self._record_completion(fingerprint, now_s)
-            return False
-        if (
-            finished.attempt_result not in _LOST
-            or state is None
-            or state.server.is_draining
-            or state.leaving_since_s is not None
-            or now_s - self._completed_s.get(fingerprint, float("-inf"))
-            < _RECENTLY_COMPLETED_S
+        match finished.attempt_result:
+            case messages.AttemptResult.SERVED:
+                self._record_completion(fingerprint, now_s)
+            case messages.AttemptResult.UNREACHABLE:
+                losses = self._losses.get(finished.placement.server.instance)
+                if losses is not None:
+                    self._probe(losses.server)
+            case messages.AttemptResult.RESET | messages.AttemptResult.BROKEN:
+                if (
+                    state is not None
+                    and not state.server.is_draining
+                    and state.leaving_since_s is None
+                    and not self._was_completed_lately(fingerprint, now_s)
+                ):
+                    self._record_loss(finished, state.server, now_s)
+            case _:
+                pass
+
+    def _was_completed_lately(self, fingerprint: int, now_s: float) -> bool:
+        completed_s = self._completed_s.get(fingerprint)
+        return (
+            completed_s is not None
+            and now_s - completed_s < _RECENTLY_COMPLETED_S
+        )
+
+    def _record_loss(
+        self,
+        finished: messages.AttemptFinished,
+        server: models.BackendServer,
+        now_s: float,
+    ) -> None:
+        fingerprint = finished.requirements.fingerprint
+        earlier = self._servers_lost_with(fingerprint, now_s)
+        losses = self._losses.setdefault(server.instance, _Losses(server))
+        losses.ends[fingerprint] = evidence.ServerEnd(
+            server.name,
+            server.born_ms,
+            finished.placement.placed_s,
+            now_s,
+            self._vm,
+            finished.requirements.request_id,
+        )
+        if not (
+            earlier
+            or fingerprint in self._suspected
+            or self._may_probe(server.instance, now_s)
         ):
+            return
+        self._investigated_until_s[fingerprint] = now_s + _MAX_INVESTIGATION_S
+        for lost in (*earlier, server):
+            self._probe(lost)
+
+    def _servers_lost_with(
+        self, fingerprint: int, now_s: float
+    ) -> list[models.BackendServer]:
+        """Returns the servers with which a request lost its connection."""
+        return [
+            losses.server
+            for losses in self._losses.values()
+            if (end := losses.ends.get(fingerprint)) is not None
+            and end.ended_s > now_s - _LOSS_MEMORY_S
+        ]
+
+    def _may_probe(self, instance: models.ServerInstance, now_s: float) -> bool:
+        """Returns whether a first loss is followed by a probe at once."""
+        if now_s - self._probed_s.get(instance, float("-inf")) < _PROBED_S:
             return False
-        server = state.server
-        self._lost.setdefault(server.instance, {})[fingerprint] = (
-            evidence.ServerEnd(
-                server.name,
-                server.born_ms,
-                finished.placement.placed_s,
-                now_s,
-                self._vm,
-                finished.requirements.request_id,
-            )
+        self._probe_tokens = min(
+            _PROBE_BURST,
+            self._probe_tokens + _PROBE_RATE * (now_s - self._probe_tokens_s),
         )
-        self._investigated_until_s[fingerprint] = now_s + _MAX_INVESTIGATION_S
+        self._probe_tokens_s = now_s
+        if self._probe_tokens < 1.0:
+            return False
+        self._probe_tokens -= 1.0
         return True
 
-    def record_probe(self, probed: messages.ServerProbed) -> None:
+    def record_probe(self, probed: messages.ServerProbed, now_s: float) -> None:
         """Reports the requests that a server had if it has ended."""
-        lost = self._lost.pop(probed.server.instance, None)
-        if lost is None:
+        instance = probed.server.instance
+        if probed.connection is not None:
+            self._probed_s[instance] = now_s
+        losses = self._losses.pop(instance, None)
+        if losses is None:
             return
         if not probed.is_refused:
-            for fingerprint in lost:
+            for fingerprint in losses.ends:
                 self._investigated_until_s.pop(fingerprint, None)
             return
-        self._metrics.count("gateway.suspects.reported", len(lost))
+        self._metrics.count("gateway.suspects.reported", len(losses.ends))
         self._report(
             suspects.ServerEnded(
                 tuple(
@@ -162,13 +240,18 @@
                         (end,),
                         self._completed_s.get(fingerprint, float("-inf")),
                     )
-                    for fingerprint, end in lost.items()
+                    for fingerprint, end in losses.ends.items()
                 )
             )
         )
 
-    def apply(self, message: suspects.ToDispatcher) -> None:
-        """Applies what was found out about requests."""
+    def apply(self, message: suspects.ToDispatcher, now_s: float) -> None:
+        """Applies what was found out about requests.
+
+        Args:
+            message: What was found out.
+            now_s: Time on the loop's clock, in seconds.
+        """
         match message:
             case suspects.RequestsAssessed(findings):
                 for fingerprint, finding in findings.items():
@@ -178,6 +261,8 @@
                 is_cleared = completed_s is not None and completed_s > since_s
                 if not is_cleared:
                     self._suspect(fingerprint)
+                    for server in self._servers_lost_with(fingerprint, now_s):
+                        self._probe(server)
                 if not reply.done():
                     reply.set_result(completed_s if is_cleared else None)
             case suspects.RequestsQuarantined(entries):
@@ -189,15 +274,19 @@
                 typing.assert_never(message)
 
     def forget_old(self, now_s: float) -> None:
-        """Forgets investigations that got no result."""
+        """Forgets lost connections, and investigations without a result."""
         for fingerprint, until_s in list(self._investigated_until_s.items()):
             if until_s <= now_s:
                 del self._investigated_until_s[fingerprint]
-        for instance, lost in list(self._lost.items()):
+        for instance, losses in list(self._losses.items()):
             if all(
-                end.ended_s < now_s - evidence.MEMORY_S for end in lost.values()
+                end.ended_s < now_s - _LOSS_MEMORY_S
+                for end in losses.ends.values()
             ):
-                del self._lost[instance]
+                del self._losses[instance]
+        for instance, probed_s in list(self._probed_s.items()):
+            if probed_s < now_s - _PROBED_S:
+                del self._probed_s[instance]
 
     def _apply_finding(
         self, fingerprint: int, finding: evidence.Finding
--- a/berylweir/gateway/dispatch/task.py
+++ b/berylweir/gateway/dispatch/task.py
@@ -96,7 +96,7 @@
         )
         self._statement_log = statement_log.StatementLog(metrics)
         self._suspects = suspect_requests.SuspectRequests(
-            environment.vm, report_suspects, metrics
+            environment.vm, report_suspects, self._connectivity.probe, metrics
         )
         self._leaving = leaving.LeavingInstances()
         self._deployment = deployment.Deployment(
@@ -153,7 +153,7 @@
                 | suspects.SuspectAnnounced()
                 | suspects.RequestsQuarantined()
             ):
-                self._suspects.apply(message)
+                self._suspects.apply(message, self._now_s())
             case (
                 messages.ConfigurationChanged()
                 | messages.ServersChanged()
@@ -507,8 +507,7 @@
         now_s = self._now_s()
         state = self._deployment.servers.get(finished.placement.server.instance)
         connection = finished.connection
-        if self._suspects.finish(finished, state, now_s) and state is not None:
-            self._connectivity.probe(state)
+        self._suspects.finish(finished, state, now_s)
         if state is None:
             if connection is not None:
                 connection.close()
@@ -552,7 +551,7 @@
     def _finish_probe(self, probed: messages.ServerProbed) -> None:
         now_s = self._now_s()
         state = self._deployment.servers.get(probed.server.instance)
-        self._suspects.record_probe(probed)
+        self._suspects.record_probe(probed, now_s)
         if state is not None:
             self._connectivity.record_probe(probed, now_s)
         if probed.connection is None:
--- a/tests/gateway/dispatch/test_suspects.py
+++ b/tests/gateway/dispatch/test_suspects.py
@@ -1,6 +1,7 @@
 """Tests of the dispatcher's part in finding requests that crash servers."""
 
 import asyncio
+import dataclasses
 
 from berylweir.crash_suspects import evidence
 from berylweir.gateway import messages
@@ -16,17 +17,23 @@
 )
 
 
+def server_number(number):
+    """Returns another server."""
+    return dataclasses.replace(_SERVER, name=f"s{number}")
+
+
 class Harness:
     """Suspects of one VM, and what they report."""
 
     def __init__(self):
         self.reports = []
+        self.probed = []
         self.suspects = suspect_requests.SuspectRequests(
-            "vm", self.reports.append, counters.Counters()
+            "vm", self.reports.append, self.probed.append, counters.Counters()
         )
         self.state = dispatch.ServerState(_SERVER)
 
-    def requirements(self, *, is_retry=False):
+    def requirements(self, *, is_retry=False, fingerprint=_F):
         """Returns what the request needs."""
         return messages.ServerRequirements(
             request_id="r",
@@ -42,16 +49,18 @@
             queue_deadline_s=100.0,
             owner_wait_deadline_s=100.0,
             deadline_s=100.0,
-            fingerprint=_F,
+            fingerprint=fingerprint,
         )
 
-    def finish(self, result, now_s):
-        """Ends an attempt; returns whether the server has to be probed."""
-        placement = messages.Placement(_SERVER, None, now_s - 0.1, 0.0)
-        return self.suspects.finish(
+    def finish(self, result, now_s, server=_SERVER, fingerprint=_F):
+        """Ends an attempt; returns the servers that are probed then."""
+        placement = messages.Placement(server, None, now_s - 0.1, 0.0)
+        self.state.server = server
+        self.probed.clear()
+        self.suspects.finish(
             messages.AttemptFinished(
                 placement,
-                self.requirements(),
+                self.requirements(fingerprint=fingerprint),
                 result,
                 None,
                 models.ServerStatements(),
@@ -61,6 +70,17 @@
             self.state,
             now_s,
         )
+        return [server.name for server in self.probed]
+
+    def overload(self):
+        """Uses up the probes after first losses."""
+        for number in range(10):
+            self.finish(
+                messages.AttemptResult.RESET,
+                1.0,
+                server_number(number),
+                fingerprint=100 + number,
+            )
 
     def check(self, now_s, *, is_retry=False):
         """Returns why the request is not sent; None if it is."""
@@ -72,13 +92,15 @@
     def probe(self, *, is_refused):
         """Reports a probe that opened no connection."""
         self.suspects.record_probe(
-            messages.ServerProbed(_SERVER, None, is_refused=is_refused)
+            messages.ServerProbed(_SERVER, None, is_refused=is_refused), 1.01
         )
 
     async def announce(self, since_s):
         """Announces the suspect; returns when it was last completed."""
         reply = asyncio.get_running_loop().create_future()
-        self.suspects.apply(suspects.SuspectAnnounced(_F, since_s, reply))
+        self.suspects.apply(
+            suspects.SuspectAnnounced(_F, since_s, reply), since_s
+        )
         return await reply
 
 
@@ -88,7 +110,7 @@
     def test_retry_is_sent_before_the_finding(self):
         """Guards against a second crash a few ms after the first."""
         harness = Harness()
-        assert harness.finish(messages.AttemptResult.RESET, 1.0)
+        assert harness.finish(messages.AttemptResult.RESET, 1.0) == ["s"]
         reason = messages.RefusalReason.INVESTIGATED
         assert harness.check(1.01, is_retry=True) is reason
         harness.probe(is_refused=True)
@@ -96,14 +118,15 @@
         (ended,) = harness.reports
         assert [e.server for e in ended.requests[0].ends] == ["s"]
         harness.suspects.apply(
-            suspects.RequestsAssessed({_F: evidence.Finding.UNSUSPECTED})
+            suspects.RequestsAssessed({_F: evidence.Finding.UNSUSPECTED}),
+            1.02,
         )
         assert harness.check(1.03, is_retry=True) is None
 
     def test_reset_by_a_full_server_is_reported(self):
         """Guards against blaming requests that a full server reset."""
         harness = Harness()
-        assert harness.finish(messages.AttemptResult.RESET, 1.0)
+        assert harness.finish(messages.AttemptResult.RESET, 1.0) == ["s"]
         harness.probe(is_refused=False)
         assert harness.reports == []
         assert harness.check(1.01, is_retry=True) is None
@@ -119,15 +142,59 @@
         """Guards against blaming requests for a planned end."""
         harness = Harness()
         harness.state.leaving_since_s = 0.5
-        assert not harness.finish(messages.AttemptResult.RESET, 1.0)
+        assert harness.finish(messages.AttemptResult.RESET, 1.0) == []
 
     def test_hot_request_is_held_up_by_each_reset(self):
         """Guards against a probe and a wait for each reset of a hot path."""
         harness = Harness()
         harness.finish(messages.AttemptResult.SERVED, 0.9)
-        assert not harness.finish(messages.AttemptResult.RESET, 1.0)
+        assert harness.finish(messages.AttemptResult.RESET, 1.0) == []
         assert harness.check(1.01) is None
 
+    def test_overloaded_servers_are_probed_after_each_reset(self):
+        """Guards against connections that add to the load of full servers."""
+        harness = Harness()
+        probed = [
+            harness.finish(
+                messages.AttemptResult.RESET,
+                1.0 + 0.01 * n,
+                server_number(n),
+                fingerprint=100 + n,
+            )
+            for n in range(50)
+        ]
+        assert sum(map(len, probed)) < 6
+
+    def test_second_loss_of_a_request_is_taken_for_overload(self):
+        """Guards against missing a harmful request while servers are full."""
+        harness = Harness()
+        harness.overload()
+        assert harness.finish(messages.AttemptResult.RESET, 1.1) == []
+        second = harness.finish(
+            messages.AttemptResult.RESET, 1.2, server_number(99)
+        )
+        assert second == ["s", "s99"]
+        reason = messages.RefusalReason.INVESTIGATED
+        assert harness.check(1.21, is_retry=True) is reason
+
+    async def test_earlier_losses_of_a_suspect_are_forgotten(self):
+        """Guards against ends that no VM has noticed in an overload."""
+        harness = Harness()
+        harness.overload()
+        assert harness.finish(messages.AttemptResult.RESET, 1.1) == []
+        await harness.announce(1.15)
+        assert harness.probed == [_SERVER]
+
+    def test_server_that_refuses_connections_later_is_not_probed(self):
+        """Guards against ends that show only with the next request."""
+        harness = Harness()
+        harness.overload()
+        assert harness.finish(messages.AttemptResult.RESET, 1.1) == []
+        probed = harness.finish(
+            messages.AttemptResult.UNREACHABLE, 1.3, fingerprint=9
+        )
+        assert probed == ["s"]
+
 
 class TestSuspect:
     """Requests that were found to be suspected."""
