State what builds may expect of each other, and check it

Nothing said which messages and objects a build may change, and an undecodable message was only counted, so the next change could break a fleet of two builds unseen; its sender waited 0.5 s each time.

An undecodable message is answered with Unsupported, and its sender doesn't send it to that run of the gateway again.

--- a/berylweir/gateway/peers/exceptions.py
+++ b/berylweir/gateway/peers/exceptions.py
@@ -27,4 +27,17 @@
     reason: str
 
 
-PeerFailure = UndecodableMessage | PeerUnresponsive
+@dataclasses.dataclass(frozen=True, slots=True)
+class MessageUnsupported:
+    """Another gateway doesn't know a message; its build is an older one.
+
+    Attributes:
+        vm: Name of its VM.
+        message: Type of the message.
+    """
+
+    vm: str
+    message: str
+
+
+PeerFailure = UndecodableMessage | PeerUnresponsive | MessageUnsupported
--- a/berylweir/gateway/peers/messages.py
+++ b/berylweir/gateway/peers/messages.py
@@ -341,6 +341,16 @@
     is_last: bool
 
 
+class Unsupported(msgspec.Struct, frozen=True, tag="unsupported"):
+    """Answers a message that can't be decoded; builds up to 0254d82 don't.
+
+    Attributes:
+        reason: Why it can't.
+    """
+
+    reason: str
+
+
 class GatewayStatus(msgspec.Struct, frozen=True, tag="standing"):
     """Status of a gateway; answers all requests that have no other reply.
 
@@ -412,6 +422,7 @@
     | Findings
     | Completion
     | QuarantineRequests
+    | Unsupported
 )
 
 _ENCODER = msgspec.msgpack.Encoder()
--- a/berylweir/gateway/peers/task.py
+++ b/berylweir/gateway/peers/task.py
@@ -31,6 +31,8 @@
 REPLY_TIMEOUT_S = 0.5
 # Longest pause between attempts to reconnect, in ms.
 _RECONNECT_MAX_MS = 500
+# Messages unknown to other gateways that are remembered.
+_MAX_UNSUPPORTED = 1000
 # Resend interval, in ms, that is never reached: the caller of `ask` decides on
 # retries, not the socket.
 _NO_RESEND_MS = 3_600_000
@@ -121,12 +123,12 @@
                 reply = await self._handler(request)
                 await sockets.send(nng_context, messages.encode(reply))
             case result.Err(failure):
-                # No reply is sent, so the request times out at its sender. An
-                # nng context may receive the next request without replying.
                 self._metrics.count("peers.undecodable")
                 _LOGGER.warning(
                     "undecodable message", extra={"failure": failure}
                 )
+                reply = messages.Unsupported(failure.reason)
+                await sockets.send(nng_context, messages.encode(reply))
 
 
 class PeerClient:
@@ -143,6 +145,8 @@
         """
         self._metrics = metrics
         self._sockets: dict[tuple[str, int], pynng.Socket] = {}
+        # Messages that other gateways don't know, by the run of the gateway.
+        self._unsupported: set[tuple[str, str]] = set()
         # Number of requests that wait for a reply on each socket.
         self._pending_requests: collections.Counter[pynng.Socket] = (
             collections.Counter()
@@ -173,8 +177,12 @@
                 seconds.
 
         Returns:
-            The reply, or the failure if there was none in time.
+            The reply, or the failure if there was none in time, or if the
+            gateway doesn't know the message.
         """
+        message = type(request).__name__
+        if (vm.incarnation, message) in self._unsupported:
+            return result.Err(exceptions.MessageUnsupported(vm.name, message))
         address = (vm.host, vm.port)
         socket = self._get_socket(address)
         self._pending_requests[socket] += 1
@@ -195,7 +203,30 @@
             with contextlib.suppress(pynng.Closed):
                 nng_context.close()  # it may have been closed with its socket
             self._release(address, socket)
-        return messages.decode_reply(data)
+        match messages.decode_reply(data):
+            case result.Ok(messages.Unsupported(reason)):
+                return result.Err(self._learn_unsupported(vm, message, reason))
+            case reply:
+                return reply
+
+    def _learn_unsupported(
+        self, vm: models.Vm, message: str, reason: str
+    ) -> exceptions.PeerFailure:
+        """Remembers that a gateway doesn't know a message."""
+        self._metrics.count("peers.unsupported")
+        _LOGGER.warning(
+            "message not supported by another build",
+            extra={
+                "vm": vm.name,
+                "sent": message,
+                "reason": reason,
+                "its_capabilities": sorted(vm.capabilities),
+            },
+        )
+        if len(self._unsupported) >= _MAX_UNSUPPORTED:
+            self._unsupported.clear()
+        self._unsupported.add((vm.incarnation, message))
+        return exceptions.MessageUnsupported(vm.name, message)
 
     def _get_socket(self, address: tuple[str, int]) -> pynng.Socket:
         socket = self._sockets.get(address)
--- /dev/null
+++ b/tests/upgrades/test_contract.py
@@ -0,0 +1,166 @@
+"""Tests of what gateways of different builds may expect of each other."""
+
+import asyncio
+import base64
+import json
+import pathlib
+
+import msgspec
+import pynng
+import pytest
+import result
+
+from berylweir.gateway import models
+from berylweir.gateway.peers import exceptions
+from berylweir.gateway.peers import messages
+from berylweir.gateway.peers import task as peers
+from berylweir.observability import counters
+from berylweir.platform import objects
+from berylweir.platform import store
+from tests.gateway import rig
+from tests.upgrades import record
+
+_DIRECTORY = pathlib.Path(__file__).parent
+_CONTRACT = _DIRECTORY.parents[1] / "docs" / "upgrades.md"
+_BUILDS = [
+    json.loads(path.read_text())
+    for path in sorted((_DIRECTORY / "recorded").glob("*.json"))
+]
+_IDS = [build["build"] for build in _BUILDS]
+
+
+def missing(old, new, path=""):
+    """Yields the places at which a message lacks a part of an older one."""
+    match old, new:
+        case dict(), dict():
+            for key, value in old.items():
+                if key not in new:
+                    yield f"{path}.{key}"
+                else:
+                    yield from missing(value, new[key], f"{path}.{key}")
+        case list(), list():
+            if len(new) < len(old):
+                yield path
+            for index, (before, after) in enumerate(
+                zip(old, new, strict=False)
+            ):
+                yield from missing(before, after, f"{path}[{index}]")
+        case _:
+            if old != new:
+                yield path
+
+
+class TestOlderBuilds:
+    """Messages and objects that released builds have written."""
+
+    @pytest.mark.parametrize("build", _BUILDS, ids=_IDS)
+    def test_message_is_not_understood(self, build):
+        """Guards against a build that doesn't know what others send."""
+        assert len(build["messages"]) >= 10
+        for name, text in build["messages"].items():
+            data = base64.b64decode(text)
+            decoded = [
+                outcome.ok_value
+                for outcome in (
+                    messages.decode_request(data),
+                    messages.decode_reply(data),
+                )
+                if isinstance(outcome, result.Ok)
+            ]
+            assert [type(d).__name__ for d in decoded] == [name]
+
+    @pytest.mark.parametrize("build", _BUILDS, ids=_IDS)
+    def test_message_lacks_what_an_older_build_needs(self, build):
+        """Guards against a field that is taken away or renamed."""
+        now = record.record()
+        for name, text in build["messages"].items():
+            before = msgspec.msgpack.decode(base64.b64decode(text))
+            after = msgspec.msgpack.decode(
+                base64.b64decode(now["messages"][name])
+            )
+            assert list(missing(before, after)) == [], name
+        for name, text in build["objects"].items():
+            after = json.loads(now["objects"][name])
+            assert list(missing(json.loads(text), after)) == [], name
+
+    @pytest.mark.parametrize("build", _BUILDS, ids=_IDS)
+    def test_object_is_not_understood(self, build):
+        """Guards against VMs, leases and tables lost in an upgrade."""
+
+        def stored(name, text):
+            spec = msgspec.Raw(text.encode())
+            return store.build_stored_object(
+                name, 5, spec, msgspec.Raw(b"null")
+            )
+
+        vm = objects.decode_gateway_object(
+            stored("vm.a", build["objects"]["Vm"])
+        ).ok_value
+        assert (vm.name, vm.judges_requests) == ("a", False)
+        lease = objects.decode_gateway_object(
+            stored("lease", build["objects"]["Lease"])
+        ).ok_value
+        assert isinstance(lease, models.Lease)
+        table = objects.decode_table(stored("g", build["objects"]["KeyTable"]))
+        assert isinstance(table.ok_value, models.KeyTable)
+
+
+class TestContract:
+    """The page that says what builds may expect."""
+
+    def test_message_changes_without_an_entry(self):
+        """Guards against a change that nobody has thought through.
+
+        After a change, complete the page, then write the new field lists to
+        `messages.json`.
+        """
+        known = json.loads((_DIRECTORY / "messages.json").read_text())
+        assert record.field_lists() == known
+
+    def test_page_names_each_message(self):
+        """Guards against messages whose receivers nobody has thought of."""
+        page = _CONTRACT.read_text()
+        names = [kind.__name__ for kind in record.message_types()]
+        assert [n for n in names if f"`{n}`" not in page] == []
+
+
+class TestUnknownMessage:
+    """Messages of a newer build."""
+
+    async def test_sender_waits_for_an_older_build_each_time(self):
+        """Guards against messages that are sent on though nobody knows them."""
+        port = rig.free_port()
+        vm = models.Vm("v", "run", "127.0.0.1", port, "a")
+        metrics = counters.Counters()
+        client = peers.PeerClient(metrics)
+        reply = messages.encode(messages.Unsupported("unknown tag"))
+        with pynng.Rep0(listen=f"tcp://127.0.0.1:{port}") as socket:
+            asking = asyncio.create_task(
+                client.ask(vm, messages.GetQuarantine())
+            )
+            await socket.arecv()
+            await socket.asend(reply)
+            failure = exceptions.MessageUnsupported("v", "GetQuarantine")
+            assert await asking == result.Err(failure)
+        # Nobody listens any more, so this doesn't ask.
+        assert await client.ask(vm, messages.GetQuarantine()) == result.Err(
+            failure
+        )
+        assert metrics.counts["peers.unsupported"] == 1
+        client.close()
+
+    async def test_unknown_message_gets_no_answer(self):
+        """Guards against senders that wait for a reply in vain."""
+        async with rig.Rig() as deployment:
+            await deployment.configure({"g": False}, [rig.route("r", "g")])
+            gateway = await deployment.add_gateway()
+            address = f"tcp://127.0.0.1:{gateway.environment.peer_port}"
+            with pynng.Req0(dial=address) as socket:
+                await socket.asend(
+                    msgspec.msgpack.encode({"type": "from the future"})
+                )
+                match messages.decode_reply(await socket.arecv()):
+                    case result.Ok(messages.Unsupported()):
+                        pass
+                    case other:
+                        raise AssertionError(other)
