List and lift refused requests with berylweirctl

An operator could lift a refusal only by writing the object by hand. quarantine list shows the fingerprint, its servers, who reported them and the ids of the requests; quarantine lift ends a refusal. Both use the platform's store, since the gateways have no administration API.

--- a/berylweir/ctl/program.py
+++ b/berylweir/ctl/program.py
@@ -22,6 +22,7 @@
 from berylweir.ctl import decisions
 from berylweir.ctl import exceptions
 from berylweir.ctl import output
+from berylweir.ctl import quarantine
 from berylweir.ctl import schemas
 
 _POLL_INTERVAL_S = 0.25
@@ -33,7 +34,9 @@
 BERYLWEIR_TOKEN.
 
 Commands of the groups: zone out, zone back, zone status, server drain, server
-back, server lost, rollout watch. Each command has its own --help.
+back, server lost, rollout watch, quarantine list, quarantine lift. Each command
+has its own --help. Those of quarantine need no API: they use the platform's
+store, whose address is that of --store.
 
 Exit codes: 0 success; 1 failure; 2 invalid option or file; 3 conflict with
 another change; 4 refused, because too little capacity would be left or the
@@ -528,6 +531,28 @@
     return exceptions.ExitCode.OK
 
 
+def list_quarantine(*, store: str, json: bool = False) -> int:
+    """Shows the requests that gateways refuse because they crash servers.
+
+    Args:
+        store: HOST:PORT of the platform's store.
+        json: Print JSON instead of a table.
+    """
+    _unwrap(quarantine.show_entries(store, as_json=json))
+    return exceptions.ExitCode.OK
+
+
+def lift_quarantine(fingerprint: str, *, store: str) -> int:
+    """Lets the gateways send such a request to servers again.
+
+    Args:
+        fingerprint: Fingerprint of the request, 16 hexadecimal digits.
+        store: HOST:PORT of the platform's store.
+    """
+    _unwrap(quarantine.lift(store, fingerprint))
+    return exceptions.ExitCode.OK
+
+
 def _print_stderr(text: str) -> None:
     print(f"berylweirctl: {text}", file=sys.stderr)
 
@@ -575,6 +600,7 @@
             ),
         },
         "rollout": {"watch": watch},
+        "quarantine": {"list": list_quarantine, "lift": lift_quarantine},
         "explain": explain,
         "check": check,
     }
