Remember requests whose deadline passed at a server that then ends

Such an attempt is now remembered like one that lost its connection, and its server is probed with the next loss of the request, if it is suspected, or if a request can't connect to the server.

--- a/berylweir/gateway/dispatch/suspects.py
+++ b/berylweir/gateway/dispatch/suspects.py
@@ -150,16 +150,30 @@
                 if losses is not None:
                     self._probe(losses.server)
             case messages.AttemptResult.RESET | messages.AttemptResult.BROKEN:
-                if (
-                    state is not None
-                    and not state.server.is_draining
-                    and state.leaving_since_s is None
-                    and not self._was_completed_lately(fingerprint, now_s)
-                ):
-                    self._record_loss(finished, state.server, now_s)
+                if self._is_suspicious(fingerprint, state, now_s):
+                    self._record_loss(finished, now_s)
+                    self._investigate(finished, now_s)
+            case messages.AttemptResult.EXPIRED:
+                # The server may end shortly after the deadline.
+                if self._is_suspicious(fingerprint, state, now_s):
+                    self._record_loss(finished, now_s)
             case _:
                 pass
 
+    def _is_suspicious(
+        self,
+        fingerprint: int,
+        state: dispatch.ServerState | None,
+        now_s: float,
+    ) -> bool:
+        """Returns whether a server may have ended because of a request."""
+        return (
+            state is not None
+            and not state.server.is_draining
+            and state.leaving_since_s is None
+            and not self._was_completed_lately(fingerprint, now_s)
+        )
+
     def _was_completed_lately(self, fingerprint: int, now_s: float) -> bool:
         completed_s = self._completed_s.get(fingerprint)
         return (
@@ -168,15 +182,11 @@
         )
 
     def _record_loss(
-        self,
-        finished: messages.AttemptFinished,
-        server: models.BackendServer,
-        now_s: float,
+        self, finished: messages.AttemptFinished, now_s: float
     ) -> None:
-        fingerprint = finished.requirements.fingerprint
-        earlier = self._servers_lost_with(fingerprint, now_s)
+        server = finished.placement.server
         losses = self._losses.setdefault(server.instance, _Losses(server))
-        losses.ends[fingerprint] = evidence.ServerEnd(
+        losses.ends[finished.requirements.fingerprint] = evidence.ServerEnd(
             server.name,
             server.born_ms,
             finished.placement.placed_s,
@@ -184,15 +194,23 @@
             self._vm,
             finished.requirements.request_id,
         )
-        if not (
-            earlier
+
+    def _investigate(
+        self, finished: messages.AttemptFinished, now_s: float
+    ) -> None:
+        """Has the servers probed with which a request lost its connection."""
+        fingerprint = finished.requirements.fingerprint
+        lost = self._servers_lost_with(fingerprint, now_s)
+        if (
+            len(lost) > 1
             or fingerprint in self._suspected
-            or self._may_probe(server.instance, now_s)
+            or self._may_probe(finished.placement.server.instance, now_s)
         ):
-            return
-        self._investigated_until_s[fingerprint] = now_s + _MAX_INVESTIGATION_S
-        for lost in (*earlier, server):
-            self._probe(lost)
+            self._investigated_until_s[fingerprint] = (
+                now_s + _MAX_INVESTIGATION_S
+            )
+            for server in lost:
+                self._probe(server)
 
     def _servers_lost_with(
         self, fingerprint: int, now_s: float
--- a/tests/gateway/dispatch/test_suspects.py
+++ b/tests/gateway/dispatch/test_suspects.py
@@ -185,6 +185,16 @@
         await harness.announce(1.15)
         assert harness.probed == [_SERVER]
 
+    def test_server_that_ends_after_the_deadline_is_not_noticed(self):
+        """Guards against a harmful request that waits in queues for long."""
+        harness = Harness()
+        assert harness.finish(messages.AttemptResult.EXPIRED, 1.0) == []
+        assert harness.check(1.1) is None
+        probed = harness.finish(
+            messages.AttemptResult.RESET, 1.5, server_number(2)
+        )
+        assert probed == ["s", "s2"]
+
     def test_server_that_refuses_connections_later_is_not_probed(self):
         """Guards against ends that show only with the next request."""
         harness = Harness()
