Tell a reporter which of its requests are refused already

A gateway that had missed the message of the judge learned from its report only that the request is harmful, not until when it is refused, so it went on sending it: 2 servers more in 3 attempts, and as many with each further one while the store is away. The findings now carry the entries, and a harmful request gets no retry even before.

--- a/berylweir/gateway/dispatch/suspects.py
+++ b/berylweir/gateway/dispatch/suspects.py
@@ -313,10 +313,9 @@
         match finding:
             case evidence.Finding.UNSUSPECTED:
                 self._suspected.pop(fingerprint, None)
-            case evidence.Finding.SUSPECTED:
+            case evidence.Finding.SUSPECTED | evidence.Finding.HARMFUL:
+                # A harmful request is also in the quarantine.
                 self._suspect(fingerprint)
-            case evidence.Finding.HARMFUL:
-                pass  # The entry of the quarantine comes by itself.
             case _:
                 typing.assert_never(finding)
 
--- a/berylweir/gateway/peers/messages.py
+++ b/berylweir/gateway/peers/messages.py
@@ -253,14 +253,27 @@
     requests: list[InterruptedRequest]
 
 
+class QuarantineEntry(msgspec.Struct, frozen=True, array_like=True):
+    """A request that is refused; see `quarantine.Entry`."""
+
+    fingerprint: int
+    until_ms: int
+    duration_ms: int
+    servers: list[str] = []
+    reporters: list[str] = []
+    request_ids: list[str] = []
+
+
 class Findings(msgspec.Struct, frozen=True, tag="findings"):
     """Answers `ReportCrashes`.
 
     Attributes:
         findings: Value of `evidence.Finding` for each request, by fingerprint.
+        entries: Those of them that are refused.
     """
 
     findings: dict[int, str]
+    entries: list[QuarantineEntry] = []
 
 
 class AnnounceSuspect(msgspec.Struct, frozen=True, tag="suspect"):
@@ -289,17 +302,6 @@
     age_s: float | None = None
 
 
-class QuarantineEntry(msgspec.Struct, frozen=True, array_like=True):
-    """A request that is refused; see `quarantine.Entry`."""
-
-    fingerprint: int
-    until_ms: int
-    duration_ms: int
-    servers: list[str] = []
-    reporters: list[str] = []
-    request_ids: list[str] = []
-
-
 class QuarantineRequests(msgspec.Struct, frozen=True, tag="quarantine"):
     """Says which requests are refused; also answers `GetQuarantine`.
 
--- a/berylweir/gateway/suspects/codec.py
+++ b/berylweir/gateway/suspects/codec.py
@@ -79,9 +79,18 @@
 
 def encode_findings(
     findings: dict[int, evidence.Finding],
+    entries: Iterable[quarantine.Entry],
 ) -> peers.Findings:
-    """Returns the message that answers a report."""
-    return peers.Findings({f: x.value for f, x in findings.items()})
+    """Returns the message that answers a report.
+
+    Args:
+        findings: Finding for each request, by fingerprint.
+        entries: Entries of those that are refused.
+    """
+    return peers.Findings(
+        {f: x.value for f, x in findings.items()},
+        [_encode_entry(entry) for entry in entries],
+    )
 
 
 def decode_findings(message: peers.Findings) -> dict[int, evidence.Finding]:
@@ -98,23 +107,22 @@
     entries: Iterable[quarantine.Entry],
 ) -> peers.QuarantineRequests:
     """Returns the message that says which requests are refused."""
-    return peers.QuarantineRequests(
-        [
-            peers.QuarantineEntry(
-                entry.fingerprint,
-                entry.until_ms,
-                entry.duration_ms,
-                list(entry.servers),
-                list(entry.reporters),
-                list(entry.request_ids),
-            )
-            for entry in entries
-        ]
+    return peers.QuarantineRequests([_encode_entry(e) for e in entries])
+
+
+def _encode_entry(entry: quarantine.Entry) -> peers.QuarantineEntry:
+    return peers.QuarantineEntry(
+        entry.fingerprint,
+        entry.until_ms,
+        entry.duration_ms,
+        list(entry.servers),
+        list(entry.reporters),
+        list(entry.request_ids),
     )
 
 
 def decode_entries(
-    message: peers.QuarantineRequests,
+    message: peers.QuarantineRequests | peers.Findings,
 ) -> tuple[quarantine.Entry, ...]:
     """Returns the refused requests that a message names."""
     return tuple(
--- a/berylweir/gateway/suspects/task.py
+++ b/berylweir/gateway/suspects/task.py
@@ -144,7 +144,17 @@
                 )
                 reported = codec.decode_report(request, now_s)
                 self._inbox.post(messages.AssessReport(reported, findings))
-                return codec.encode_findings(await findings)
+                found = await findings
+                known = self._quarantine.entries
+                return codec.encode_findings(
+                    found,
+                    [
+                        known[fingerprint]
+                        for fingerprint, finding in found.items()
+                        if finding is evidence.Finding.HARMFUL
+                        and fingerprint in known
+                    ],
+                )
             case peer_messages.AnnounceSuspect(fingerprint, since_age_s):
                 completed_s = await self._ask_dispatcher(
                     fingerprint, now_s - since_age_s
@@ -252,6 +262,7 @@
         )
         match reply:
             case result.Ok(peer_messages.Findings() as findings):
+                self._merge(codec.decode_entries(findings))
                 return codec.decode_findings(findings)
             case result.Ok(other):
                 failure: peer_exceptions.PeerFailure = (
--- a/tests/gateway/test_crashing_requests.py
+++ b/tests/gateway/test_crashing_requests.py
@@ -2,8 +2,10 @@
 
 import asyncio
 import random
+from unittest import mock
 
 from berylweir.crash_suspects import fingerprint
+from berylweir.gateway.suspects import announcements
 from berylweir.standin.gateway_platform import hosting
 from berylweir.standin.gateway_platform import http
 from tests.gateway import rig as rigs
@@ -328,3 +330,34 @@
 
             for gateway in gateways:
                 await rigs.until(lambda gateway=gateway: is_served(gateway))
+
+
+class TestMissedMessage:
+    """Gateways that missed the message of the judge."""
+
+    async def test_gateway_that_missed_it_goes_on_sending(self):
+        """Guards against a gateway that its judge doesn't tell again."""
+        async with rigs.Rig() as rig:
+            await rig.configure({"g": False}, [rigs.route("r", "g")])
+            hosts = [
+                await rig.add_host(f"s{n}", "g", crashing_paths=_CRASHING)
+                for n in range(8)
+            ]
+            gateways = [await rig.add_gateway(f"vm-{n}") for n in range(3)]
+            await know_each_other(gateways)
+            rig.unwritable |= {"vm-0", "vm-1", "vm-2"}
+            late = gateways[0]
+
+            def lose(*_):
+                return None
+
+            with mock.patch.object(
+                announcements.Announcer, "announce_quarantine", lose
+            ):
+                await send_repeatedly(gateways[1:], _HARMFUL, 5)
+                ended = len(runs_of(hosts, _HARMFUL))
+                await send_repeatedly([late], _HARMFUL, 3)
+            # At most one more server, after which its judge tells it.
+            assert len(runs_of(hosts, _HARMFUL)) <= ended + 1
+            reply = await late.ask(_HARMFUL, "last")
+            assert reply.status == 503
