Split the choice of a server from the dispatcher's task

Only moved; tests/gateway/dispatch, forwarding, path, keyed path, server statements and crashing requests pass.

--- a/berylweir/gateway/dispatch/task.py
+++ b/berylweir/gateway/dispatch/task.py
@@ -8,17 +8,15 @@
 
 from berylweir.gateway import messages
 from berylweir.gateway import models
-from berylweir.gateway.dispatch import availability
 from berylweir.gateway.dispatch import connection_pool
 from berylweir.gateway.dispatch import connectivity
-from berylweir.gateway.dispatch import decisions
 from berylweir.gateway.dispatch import deployment
 from berylweir.gateway.dispatch import key_usage
 from berylweir.gateway.dispatch import leaving
 from berylweir.gateway.dispatch import models as dispatch
+from berylweir.gateway.dispatch import placement
 from berylweir.gateway.dispatch import probes
 from berylweir.gateway.dispatch import refusals
-from berylweir.gateway.dispatch import slow_start
 from berylweir.gateway.dispatch import statement_log
 from berylweir.gateway.dispatch import suspects as suspect_requests
 from berylweir.gateway.forwarding import state as forwarding
@@ -29,15 +27,9 @@
 from berylweir.supervision import models as supervision
 
 _MAILBOX_SIZE = 10_000  # messages; far more than a VM's concurrent requests
-# Retry-After while the owner of a key is unreachable, in seconds. Its grant
-# expires after up to 3 s; callers wait for at most a third of their deadline.
-_UNREACHABLE_RETRY_AFTER_S = 1.0
 # Interval at which waiting requests are tried again, in seconds. Load estimates
 # decay with time, so a server may get capacity without a message.
 _WAITING_RETRY_INTERVAL_S = 0.02
-# Attempts without a usable connection after which a request is rather forwarded
-# than sent to another server that may be reachable.
-_MAX_UNSENT_ATTEMPTS = 2
 
 Inbox = mailbox.Mailbox[messages.DispatcherMessage]
 _Reason = messages.RefusalReason
@@ -80,18 +72,16 @@
         """
         self._on_server_leaving = on_server_leaving
         self._vm = environment.vm
-        self._zone = environment.availability_zone
-        self._bounds = environment.bounds
         self._inbox = inbox
         self._metrics = metrics
-        self._rng = random.Random(environment.vm)
+        rng = random.Random(environment.vm)
         self._vms: Mapping[str, models.Vm] = {}
         self._waiting_requests: list[messages.PlaceRequest] = []
         self._connectivity = connectivity.Connectivity(prober_inbox, metrics)
         self._forwarding = forwarding.ForwardingState(
             environment.vm,
             environment.availability_zone,
-            self._rng,
+            rng,
             metrics,
         )
         self._statement_log = statement_log.StatementLog(metrics)
@@ -102,8 +92,13 @@
         self._deployment = deployment.Deployment(
             environment.bounds, self._leaving
         )
-        self._slow_start_shares = slow_start.SlowStartShares(
-            environment.vm, environment.bounds.cold_slack
+        self._placer = placement.ServerPlacer(
+            environment,
+            self._deployment,
+            self._connectivity,
+            self._forwarding,
+            self._suspects,
+            rng,
         )
 
     async def run(self, context: supervision.ChildContext) -> None:
@@ -181,7 +176,7 @@
             case messages.VmsChanged(vms):
                 self._vms = vms
                 self._forwarding.update_vms(vms)
-                self._slow_start_shares.update_vms(vms.keys())
+                self._placer.update_vms(vms.keys())
             case messages.LeaseChanged() | suspects.QuarantineChanged():
                 pass
             case _:
@@ -234,7 +229,7 @@
             group.budget.record_request(now_s)
             if group.settings.is_keyed and requirements.key is not None:
                 group.requested_keys.append(requirements.key)
-        refusal = self._try_place(place_request, now_s)
+        refusal = self._placer.try_place(place_request, now_s)
         if refusal is None:
             return
         if refusals.cannot_be_placed_in_time(requirements, refusal, now_s):
@@ -249,7 +244,7 @@
         for place_request in self._waiting_requests:
             if place_request.reply.done():
                 continue
-            refusal = self._try_place(place_request, now_s)
+            refusal = self._placer.try_place(place_request, now_s)
             if refusal is None:
                 continue
             if refusals.cannot_be_placed_in_time(
@@ -260,222 +255,6 @@
                 still_waiting.append(place_request)
         self._waiting_requests = still_waiting
 
-    def _try_place(
-        self, place_request: messages.PlaceRequest, now_s: float
-    ) -> messages.NotPlaced | None:
-        """Assigns a server, or returns why that isn't possible now.
-
-        A request with a key goes to the owner of the key, any other request to
-        the best server of its group.
-        """
-        requirements = place_request.requirements
-        if place_request.reply.done():
-            return None
-        refusal = self._suspects.check(requirements, now_s)
-        if refusal is not None:
-            return refusal
-        group = self._deployment.groups[requirements.group]
-        if group.settings.is_keyed and requirements.key is not None:
-            return self._try_place_on_owner(
-                place_request, group, requirements.key, now_s
-            )
-        return self._try_place_on_any_server(place_request, group, now_s)
-
-    def _try_place_on_owner(
-        self,
-        place_request: messages.PlaceRequest,
-        group: dispatch.GroupState,
-        key: int,
-        now_s: float,
-    ) -> messages.NotPlaced | None:
-        owner = (
-            decisions.find_owner(group.table, key)
-            if group.table is not None
-            else None
-        )
-        state = (
-            self._deployment.servers.get(owner) if owner is not None else None
-        )
-        if (
-            owner is not None
-            and owner == place_request.requirements.rejecting_instance
-        ):
-            return refusals.create(_Reason.NO_OWNER)
-        if state is None or not self._deployment.is_eligible(state):
-            return refusals.create(_Reason.NO_OWNER)
-        if not self._connectivity.select_reachable(
-            (state,), place_request.requirements, now_s
-        ):
-            return self._forward_or_refuse(
-                place_request,
-                messages.OwnerUnreachable(state.server.instance),
-                now_s,
-            )
-        if not self._is_within_slow_start_rate(state, group.settings, now_s):
-            return refusals.create(_Reason.COLD)
-        available = availability.select_available(
-            [state],
-            place_request.requirements.queue_deadline_s,
-            now_s,
-            self._bounds.drain_s,
-            all_leaving=_Reason.NO_OWNER,
-        )
-        if isinstance(available, messages.NotPlaced):
-            return available
-        if decisions.is_full(state, now_s):
-            return refusals.create(
-                _Reason.FULL, decisions.time_until_capacity_s(state, now_s)
-            )
-        return self._assign_server(place_request, state, group, now_s)
-
-    def _try_place_on_any_server(
-        self,
-        place_request: messages.PlaceRequest,
-        group: dispatch.GroupState,
-        now_s: float,
-    ) -> messages.NotPlaced | None:
-        requirements = place_request.requirements
-        group_servers = self._deployment.servers_of(requirements.group)
-        sampled = decisions.sample_servers(group_servers, self._rng)
-        if not any(self._is_usable(s) for s in sampled):
-            sampled = group_servers
-        eligible = [s for s in sampled if self._deployment.is_eligible(s)]
-        if not eligible:
-            return refusals.create(_Reason.NO_SERVER)
-        within_rate = [
-            s
-            for s in eligible
-            if self._is_within_slow_start_rate(s, group.settings, now_s)
-        ]
-        if not within_rate:
-            return refusals.create(_Reason.COLD)
-        available = availability.select_available(
-            within_rate,
-            requirements.queue_deadline_s,
-            now_s,
-            self._bounds.drain_s,
-            all_leaving=_Reason.NO_SERVER,
-        )
-        if isinstance(available, messages.NotPlaced):
-            return available
-        reachable = self._connectivity.select_reachable(
-            available, requirements, now_s
-        )
-        if (
-            not reachable
-            or requirements.unsent_attempts >= _MAX_UNSENT_ATTEMPTS
-        ):
-            refusal = self._forward_or_refuse(
-                place_request,
-                messages.GroupUnreachable(requirements.group),
-                now_s,
-            )
-            if refusal is None or (
-                requirements.was_forwarded and not reachable
-            ):
-                return refusal
-            reachable = reachable or available
-        untried = [
-            s
-            for s in reachable
-            if s.server.instance not in requirements.tried_instances
-        ] or reachable
-        state = decisions.choose_server(
-            untried,
-            self._zone,
-            now_s,
-            self._rng,
-            goal_ms=requirements.goal_ms,
-            is_download=requirements.is_download,
-        )
-        if state is None:
-            capacity_wait_s = min(
-                decisions.time_until_capacity_s(s, now_s) for s in untried
-            )
-            return refusals.create(_Reason.FULL, capacity_wait_s)
-        return self._assign_server(place_request, state, group, now_s)
-
-    def _forward_or_refuse(
-        self,
-        place_request: messages.PlaceRequest,
-        cause: messages.ForwardCause,
-        now_s: float,
-    ) -> messages.NotPlaced | None:
-        """Assigns another gateway, or returns a refusal if there is none."""
-        is_isolated = self._connectivity.is_isolated
-        if self._forwarding.try_forward(
-            place_request,
-            cause,
-            frozenset()
-            if is_isolated
-            else self._connectivity.unreachable_zones,
-            now_s,
-        ):
-            return None
-        return messages.NotPlaced(
-            _Reason.UNREACHABLE,
-            _UNREACHABLE_RETRY_AFTER_S,
-            is_isolated=is_isolated,
-        )
-
-    def _is_usable(self, state: dispatch.ServerState) -> bool:
-        return self._deployment.is_eligible(
-            state
-        ) and self._connectivity.allows_connection(state.server)
-
-    def _is_within_slow_start_rate(
-        self,
-        state: dispatch.ServerState,
-        settings: models.ServerGroup,
-        now_s: float,
-    ) -> bool:
-        if state.cold_until_s <= now_s or settings.cold_per_s <= 0:
-            return True
-        return (
-            state.pacer.delay_s(now_s) <= 0
-            and self._slow_start_shares.of(
-                state.server.name, settings.cold_per_s
-            ).rate
-            > 0
-        )
-
-    def _assign_server(
-        self,
-        place_request: messages.PlaceRequest,
-        state: dispatch.ServerState,
-        group: dispatch.GroupState,
-        now_s: float,
-    ) -> messages.NotPlaced | None:
-        """Assigns a server, or returns why the retry budget forbids it."""
-        if place_request.requirements.is_retry and not group.budget.try_acquire(
-            now_s, len(self._vms)
-        ):
-            return refusals.create(_Reason.RETRY_BUDGET)
-        settings = group.settings
-        if state.cold_until_s > now_s and settings.cold_per_s > 0:
-            state.pacer.record_request(
-                now_s,
-                self._slow_start_shares.of(
-                    state.server.name, settings.cold_per_s
-                ).rate,
-            )
-        placement = messages.Placement(
-            state.server,
-            state.pool.acquire(
-                now_s,
-                is_idempotent=place_request.requirements.is_idempotent,
-                request_id=place_request.requirements.request_id,
-            ),
-            now_s,
-            state.estimated_load(now_s),
-            state.limit,
-            state.overdue_after_s,
-        )
-        state.start_request()
-        self._suspects.begin(place_request.requirements)
-        place_request.reply.set_result(placement)
-        return None
-
     def _refuse_request(
         self, place_request: messages.PlaceRequest, refusal: messages.NotPlaced
     ) -> None:
