--- a/berylweir/soak/runner.py
+++ b/berylweir/soak/runner.py
@@ -13,6 +13,7 @@
 
 from berylweir.soak import callers
 from berylweir.soak import checks
+from berylweir.soak import disruptions
 from berylweir.soak import fault_schedule
 from berylweir.soak import gateways
 from berylweir.soak import harmful_request
@@ -301,19 +302,19 @@
     async def _apply_fault(self, fault: models.Fault) -> None:
         start_s = time.monotonic()
         affected = (
-            (self._disruptions, _disrupted_vms(fault, self._vms)),
-            (self._interruptions, _interrupted_vms(fault)),
+            (self._disruptions, disruptions.disrupted_vms(fault, self._vms)),
+            (self._interruptions, disruptions.interrupted_vms(fault)),
         )
-        for disruptions, vms in affected:
-            disruptions += [
+        for records, vms in affected:
+            records += [
                 models.Disruption(vm, start_s, float("inf")) for vm in vms
             ]
         await self._run_fault(fault)
         end_s = time.monotonic()
-        for disruptions, vms in affected:
+        for records, vms in affected:
             for vm in vms:
-                disruptions.append(models.Disruption(vm, start_s, end_s))
-                disruptions.remove(models.Disruption(vm, start_s, float("inf")))
+                records.append(models.Disruption(vm, start_s, end_s))
+                records.remove(models.Disruption(vm, start_s, float("inf")))
 
     async def _run_fault(self, fault: models.Fault) -> None:
         match fault:
@@ -536,30 +537,3 @@
         except (OSError, TimeoutError, EOFError):
             return False  # The gateway is down or frozen.
         return response.status == 200
-
-
-def _interrupted_vms(fault: models.Fault) -> Sequence[int]:
-    """Returns the VMs whose gateways a fault restarts or freezes."""
-    match fault:
-        case models.Kill(vm, _) | models.Stop(vm) | models.Freeze(vm, _):
-            return (vm,)
-        case _:
-            return ()
-
-
-def _disrupted_vms(fault: models.Fault, vms: int) -> Sequence[int]:
-    """Returns the VMs whose gateways a fault restarts, freezes or cuts off."""
-    match fault:
-        case (
-            models.Kill(vm, _)
-            | models.Stop(vm)
-            | models.Freeze(vm, _)
-            | models.StoreLinkFault(int(vm), _, _)
-        ):
-            return (vm,)
-        case models.Isolate(vms=isolated_vms):
-            return isolated_vms
-        case models.StoreLinkFault(None, _, _) | models.ServerLinkFault():
-            return range(vms)
-        case _:
-            return ()
--- a/tests/gateway/test_crashing_requests.py
+++ b/tests/gateway/test_crashing_requests.py
@@ -19,6 +19,24 @@
 _MAX_ENDED = 3
 
 
+async def deploy(rig, hosts, vms, *, route=None, timing=None, **options):
+    """Starts servers that crash, and gateways that know each other.
+
+    Returns:
+        The hosts of the servers, and the gateways.
+    """
+    await rig.configure({"g": False}, [route or rigs.route("r", "g")])
+    started = [
+        await rig.add_host(
+            f"s{n}", "g", timing=timing, crashing_paths=_CRASHING, **options
+        )
+        for n in range(hosts)
+    ]
+    gateways = [await rig.add_gateway(f"vm-{n}") for n in range(vms)]
+    await know_each_other(gateways)
+    return started, gateways
+
+
 def runs_of(hosts, path):
     """Returns the executions of a path at all instances."""
     return [
@@ -81,13 +99,7 @@
     async def test_request_that_crashed_three_servers_crashes_more(self):
         """Guards against one request that ends server after server."""
         async with rigs.Rig() as rig:
-            await rig.configure({"g": False}, [rigs.route("r", "g")])
-            hosts = [
-                await rig.add_host(f"s{n}", "g", crashing_paths=_CRASHING)
-                for n in range(8)
-            ]
-            gateways = [await rig.add_gateway(f"vm-{n}") for n in range(3)]
-            await know_each_other(gateways)
+            hosts, gateways = await deploy(rig, 8, 3)
             replies = await send_repeatedly(gateways, _HARMFUL, 16)
             assert len(runs_of(hosts, _HARMFUL)) <= _MAX_ENDED
             assert [r.status for r in replies[-8:]] == 8 * [503]
@@ -99,13 +111,7 @@
         """Guards against watching only requests that may be retried."""
         async with rigs.Rig() as rig:
             route = rigs.route("r", "g", kind="unsafe")
-            await rig.configure({"g": False}, [route])
-            hosts = [
-                await rig.add_host(f"s{n}", "g", crashing_paths=_CRASHING)
-                for n in range(8)
-            ]
-            gateways = [await rig.add_gateway(f"vm-{n}") for n in range(3)]
-            await know_each_other(gateways)
+            hosts, gateways = await deploy(rig, 8, 3, route=route)
             replies = await send_repeatedly(
                 gateways, _HARMFUL, 10, method="POST", body=b"order"
             )
@@ -152,15 +158,9 @@
         """Guards against watching only requests without any response."""
         async with rigs.Rig() as rig:
             route = rigs.route("r", "g", kind="download")
-            await rig.configure({"g": False}, [route])
-            hosts = [
-                await rig.add_host(f"s{n}", "g", crashing_paths=_CRASHING)
-                for n in range(6)
-            ]
+            hosts, gateways = await deploy(rig, 6, 2, route=route)
             for host in hosts:
                 host.instances[0].crashes_in_response = True
-            gateways = [await rig.add_gateway(f"vm-{n}") for n in range(2)]
-            await know_each_other(gateways)
             replies = await send_repeatedly(gateways, _HARMFUL, 6)
             assert len(runs_of(hosts, _HARMFUL)) == _MAX_ENDED
             assert [r.is_whole for r in replies[:3]] == 3 * [False]
@@ -184,13 +184,7 @@
     async def test_judge_that_is_lost_starts_the_count_again(self):
         """Guards against a count that ends with the VM that had it."""
         async with rigs.Rig() as rig:
-            await rig.configure({"g": False}, [rigs.route("r", "g")])
-            hosts = [
-                await rig.add_host(f"s{n}", "g", crashing_paths=_CRASHING)
-                for n in range(8)
-            ]
-            gateways = [await rig.add_gateway(f"vm-{n}") for n in range(4)]
-            await know_each_other(gateways)
+            hosts, gateways = await deploy(rig, 8, 4)
             # The first try ends two servers, which two VMs know of.
             await gateways[0].ask(_HARMFUL, "first")
             assert len(runs_of(hosts, _HARMFUL)) == 2
@@ -208,13 +202,7 @@
     async def test_gateway_that_has_just_started_sends_it(self):
         """Guards against a new VM that knows nothing, with the store away."""
         async with rigs.Rig() as rig:
-            await rig.configure({"g": False}, [rigs.route("r", "g")])
-            hosts = [
-                await rig.add_host(f"s{n}", "g", crashing_paths=_CRASHING)
-                for n in range(8)
-            ]
-            gateways = [await rig.add_gateway(f"vm-{n}") for n in range(2)]
-            await know_each_other(gateways)
+            hosts, gateways = await deploy(rig, 8, 2)
             rig.unwritable |= {"vm-0", "vm-1"}
             await send_repeatedly(gateways, _HARMFUL, 10)
             ended = len(runs_of(hosts, _HARMFUL))
@@ -301,13 +289,7 @@
     async def test_operator_lifts_the_refusal_of_a_repaired_request(self):
         """Guards against refusals that only time ends."""
         async with rigs.Rig() as rig:
-            await rig.configure({"g": False}, [rigs.route("r", "g")])
-            hosts = [
-                await rig.add_host(f"s{n}", "g", crashing_paths=_CRASHING)
-                for n in range(6)
-            ]
-            gateways = [await rig.add_gateway(f"vm-{n}") for n in range(2)]
-            await know_each_other(gateways)
+            hosts, gateways = await deploy(rig, 6, 2)
             await send_repeatedly(gateways, _HARMFUL, 4)
             number = fingerprint.compute(
                 b"GET", rigs.HOST.encode(), _HARMFUL.encode(), b"", b""
@@ -338,13 +320,7 @@
     async def test_gateway_that_missed_it_goes_on_sending(self):
         """Guards against a gateway that its judge doesn't tell again."""
         async with rigs.Rig() as rig:
-            await rig.configure({"g": False}, [rigs.route("r", "g")])
-            hosts = [
-                await rig.add_host(f"s{n}", "g", crashing_paths=_CRASHING)
-                for n in range(8)
-            ]
-            gateways = [await rig.add_gateway(f"vm-{n}") for n in range(3)]
-            await know_each_other(gateways)
+            hosts, gateways = await deploy(rig, 8, 3)
             rig.unwritable |= {"vm-0", "vm-1", "vm-2"}
             late = gateways[0]
 
