Remember what a server said while its entry is away

The state of a server was dropped with its entry, and with it pause, limit and warm-up; only leaving was remembered.

The state of the last 500 removed instances is kept, and what the same instance said is taken over when its entry returns.

--- a/berylweir/gateway/dispatch/deployment.py
+++ b/berylweir/gateway/dispatch/deployment.py
@@ -1,5 +1,6 @@
 """Groups and servers as the store describes them, with the VM's own state."""
 
+import collections
 from collections.abc import Iterable
 from collections.abc import Mapping
 from collections.abc import Sequence
@@ -9,6 +10,9 @@
 from berylweir.gateway.dispatch import models as dispatch
 from berylweir.gateway.dispatch import retry_budget
 
+# Removed servers whose statements are remembered.
+_MAX_REMOVED = 500
+
 
 class Deployment:
     """State of all server groups and server instances on this VM."""
@@ -28,6 +32,10 @@
         self._servers: dict[models.ServerInstance, dispatch.ServerState] = {}
         self._servers_by_group: dict[str, list[dispatch.ServerState]] = {}
         self._evacuated_zones: frozenset[str] = frozenset()
+        # Servers whose entries were removed, the last one last.
+        self._removed: collections.OrderedDict[
+            models.ServerInstance, dispatch.ServerState
+        ] = collections.OrderedDict()
 
     @property
     def groups(self) -> Mapping[str, dispatch.GroupState]:
@@ -95,12 +103,17 @@
         """
         instances = {server.instance: server for server in servers.values()}
         for instance in [key for key in self._servers if key not in instances]:
-            self._servers.pop(instance).pool.close()
+            removed = self._servers.pop(instance)
+            removed.pool.close()
+            self._remember(removed)
         for instance, server in instances.items():
             state = self._servers.get(instance)
             if state is None:
                 state = dispatch.ServerState(server)
                 state.leaving_since_s = self._leaving.since_s(instance)
+                earlier = self._removed.pop(instance, None)
+                if earlier is not None:
+                    state.restore_statements(earlier)
                 self._servers[instance] = state
                 if server.cold_ms > 0:
                     state.cold_until_s = now_s + server.cold_ms / 1000.0
@@ -116,6 +129,12 @@
                 state
             )
 
+    def _remember(self, removed: dispatch.ServerState) -> None:
+        """Keeps what a server said, in case its entry is written again."""
+        self._removed[removed.server.instance] = removed
+        if len(self._removed) > _MAX_REMOVED:
+            self._removed.popitem(last=False)
+
     def close(self) -> None:
         """Closes the idle connections to all servers."""
         for state in self._servers.values():
--- a/berylweir/gateway/dispatch/models.py
+++ b/berylweir/gateway/dispatch/models.py
@@ -260,6 +260,13 @@
             case _:
                 typing.assert_never(statements.pause)
 
+    def restore_statements(self, earlier: "ServerState") -> None:
+        """Takes over what the same instance said before its entry lapsed."""
+        self.cold_until_s = earlier.cold_until_s
+        self.limit = earlier.limit
+        self.permit_available_s = earlier.permit_available_s
+        self.paused_until_s = earlier.paused_until_s
+
     def _record_other_vms_load(self, other_vms_load: float) -> None:
         self._other_vms_load = other_vms_load
         self._average_other_vms_load += _OTHER_VMS_LOAD_WEIGHT * (
--- a/tests/gateway/dispatch/test_task.py
+++ b/tests/gateway/dispatch/test_task.py
@@ -444,3 +444,43 @@
             harness.inbox.post(messages.ResponseOverdue(placement))
             assert not (await harness.usage()).is_isolated
             assert not len(harness.prober_inbox)
+
+
+class TestServerThatReturns:
+    """Servers whose entries lapse and are written again."""
+
+    @pytest.mark.parametrize(
+        ("statements", "reason"),
+        [
+            (
+                models.ServerStatements(pause=models.Pause(30.0)),
+                messages.RefusalReason.PAUSED,
+            ),
+            (
+                models.ServerStatements(cold_ms=30_000.0),
+                messages.RefusalReason.COLD,
+            ),
+        ],
+    )
+    async def test_what_it_said_is_forgotten(self, statements, reason):
+        """Guards against requests in a pause because of an outage."""
+        async with DispatcherHarness(models.Bounds(cold_slack=0.0)) as harness:
+            placement = await harness.place()
+            harness.finish(placement, messages.AttemptResult.SHED, statements)
+            harness.inbox.post(messages.ServersChanged({}))
+            harness.inbox.post(messages.ServersChanged({"s": harness.server}))
+            for _ in range(3):
+                refusal = await harness.place()
+            assert refusal.reason is reason
+
+    async def test_another_instance_inherits_it(self):
+        """Guards against a pause that outlives the server that wanted it."""
+        async with DispatcherHarness(models.Bounds()) as harness:
+            placement = await harness.place()
+            statements = models.ServerStatements(pause=models.Pause(30.0))
+            harness.finish(placement, messages.AttemptResult.SHED, statements)
+            harness.inbox.post(messages.ServersChanged({}))
+            restarted = dataclasses.replace(harness.server, born_ms=2)
+            harness.inbox.post(messages.ServersChanged({"s": restarted}))
+            placement = await harness.place()
+            assert placement.server == restarted
