Write a refused request to the store after its judge has restarted

The judge tried again after ever longer pauses, up to 30 s, and nobody else tried.

The first VM of a request's ranking now writes each entry that it learns of, if the store isn't known to have one that lasts as long. So a judge that restarts and reads the entry from another gateway writes it. The longest pause is 4 s.

--- a/berylweir/gateway/suspects/store_writer.py
+++ b/berylweir/gateway/suspects/store_writer.py
@@ -29,7 +29,7 @@
 _MAX_PENDING = 200
 # Pause after a failed call, in seconds. It doubles up to the maximum.
 _RETRY_BASE_S = 0.5
-_RETRY_MAX_S = 30.0
+_RETRY_MAX_S = 4.0
 
 Message = messages.WriteEntry | messages.QuarantineChanged | gateway.VmsChanged
 Inbox = mailbox.Mailbox[Message]
@@ -102,6 +102,9 @@
     def _apply(self, message: Message) -> None:
         match message:
             case messages.WriteEntry(entry):
+                known = self._stored.get(entry.fingerprint)
+                if known is not None and known.until_ms >= entry.until_ms:
+                    return
                 if len(self._pending) < _MAX_PENDING:
                     self._pending[entry.fingerprint] = entry
             case messages.QuarantineChanged(entries):
--- a/berylweir/gateway/suspects/task.py
+++ b/berylweir/gateway/suspects/task.py
@@ -426,6 +426,9 @@
                     "requests": entry.request_ids,
                 },
             )
+            if self._judges.is_first(entry.fingerprint):
+                # The judge that made it may be lost before it can write it.
+                self._write_entry(messages.WriteEntry(entry))
         if changed:
             self._post(messages.RequestsQuarantined(changed))
         self._metrics.gauge(
--- a/tests/gateway/test_crashing_requests.py
+++ b/tests/gateway/test_crashing_requests.py
@@ -337,3 +337,25 @@
             assert len(runs_of(hosts, _HARMFUL)) <= ended + 1
             reply = await late.ask(_HARMFUL, "last")
             assert reply.status == 503
+
+    async def test_entry_is_lost_with_a_judge_that_could_not_write_it(self):
+        """Guards against a fleet that forgets as its gateways restart."""
+        async with rigs.Rig() as rig:
+            _, gateways = await deploy(rig, 6, 2)
+            rig.unwritable |= {"vm-0", "vm-1"}
+            await send_repeatedly(gateways, _HARMFUL, 4)
+            judge = max(
+                gateways,
+                key=lambda g: g.metrics.counts.get(
+                    "gateway.suspects.announced", 0
+                ),
+            )
+            await judge.kill()
+            rig.unwritable.clear()
+            await rig.restart(judge)
+
+            def is_stored():
+                kind = rig.store.copy().objects
+                return any("quarantine." in name for _, name in kind)
+
+            await rigs.until(is_stored)
