--- a/berylweir/soak/disruptions.py
+++ b/berylweir/soak/disruptions.py
@@ -30,3 +30,18 @@
             return range(vms)
         case _:
             return ()
+
+
+def vms_cut_from_store(fault: models.Fault, vms: int) -> Sequence[int]:
+    """Returns the VMs whose calls to the store a fault disturbs."""
+    match fault:
+        case models.StoreLinkFault(int(vm), _, _):
+            return (vm,)
+        case (
+            models.StoreLinkFault(None, _, _)
+            | models.LateWrites()
+            | models.RestoreStore()
+        ):
+            return range(vms)
+        case _:
+            return ()
--- a/berylweir/soak/harmful_request.py
+++ b/berylweir/soak/harmful_request.py
@@ -93,16 +93,21 @@
     servers: Iterable[server_standin.Server],
     vms: dict[str, int],
     interruptions: Sequence[models.Disruption],
+    store_faults: Sequence[models.Disruption],
 ) -> list[str]:
     """Returns a line if the request reached servers for too long.
 
     Attempts at gateways that were restarted or frozen shortly before don't
-    count. Other faults don't excuse a gateway.
+    count, nor those at gateways that were restarted after the third end if the
+    store was disturbed since then: neither it nor any other gateway may know of
+    the request. Other faults don't excuse a gateway.
 
     Args:
         servers: The backend servers.
         vms: Number of the VM that each attempt was sent to, by its id.
         interruptions: Times in which processes of gateways didn't run.
+        store_faults: Times in which the store or the links to it were
+            disturbed.
     """
     known_servers = list(servers)
     ended_s = _ended_s(known_servers)
@@ -115,9 +120,10 @@
         for arrival in server.arrivals
         if arrival.request_id in vms
         and arrival.arrived_s > limit_s
-        and not statement_checks.is_disrupted(
+        and not _is_excused(
             [d for d in interruptions if d.vm == vms[arrival.request_id]],
-            arrival.arrived_s - _CONTACT_S,
+            store_faults,
+            ended_s[_MAX_ENDED - 1],
             arrival.arrived_s,
         )
     }
@@ -127,3 +133,18 @@
         f"a request that had ended {_MAX_ENDED} servers reached servers in"
         f" {len(late)} attempts more; {len(ended_s)} ended in all"
     ]
+
+
+def _is_excused(
+    interruptions: Sequence[models.Disruption],
+    store_faults: Sequence[models.Disruption],
+    third_end_s: float,
+    arrived_s: float,
+) -> bool:
+    """Returns whether a gateway may not know of the request."""
+    return statement_checks.is_disrupted(
+        interruptions, arrived_s - _CONTACT_S, arrived_s
+    ) or (
+        statement_checks.is_disrupted(interruptions, third_end_s, arrived_s)
+        and statement_checks.is_disrupted(store_faults, third_end_s, arrived_s)
+    )
--- a/berylweir/soak/runner.py
+++ b/berylweir/soak/runner.py
@@ -89,6 +89,8 @@
         self._vms = vms
         self._has_harmful_request = has_harmful_request
         self._crash_tasks: set[asyncio.Task[None]] = set()
+        # Servers that have crashed and aren't back.
+        self._crashed_servers: set[int] = set()
         self._has_isolations = has_isolations
         self._checks_isolated = checks_isolated
         self._isolations: list[models.Isolation] = []
@@ -109,6 +111,8 @@
         self._disruptions: list[models.Disruption] = []
         # Those in which the process of a gateway didn't run.
         self._interruptions: list[models.Disruption] = []
+        # Those of the store and the links to it.
+        self._store_faults: list[models.Disruption] = []
         # Copies of the store with their times on the monotonic clock.
         self._store_copies: collections.deque[
             tuple[float, store_standin.StoreCopy]
@@ -202,7 +206,10 @@
                 self._disruptions,
             )
             + harmful_request.find_violations(
-                self._servers, harmful_caller.vms, self._interruptions
+                self._servers,
+                harmful_caller.vms,
+                self._interruptions,
+                self._store_faults,
             )
         )
 
@@ -304,6 +311,10 @@
         affected = (
             (self._disruptions, disruptions.disrupted_vms(fault, self._vms)),
             (self._interruptions, disruptions.interrupted_vms(fault)),
+            (
+                self._store_faults,
+                disruptions.vms_cut_from_store(fault, self._vms),
+            ),
         )
         for records, vms in affected:
             records += [
@@ -373,6 +384,9 @@
 
     def _on_crash(self, number: int) -> None:
         """Ends a server, which comes back as another instance."""
+        if number in self._crashed_servers:
+            return
+        self._crashed_servers.add(number)
         task = asyncio.create_task(self._crash_server(number))
         self._crash_tasks.add(task)
         task.add_done_callback(self._crash_tasks.discard)
@@ -388,6 +402,7 @@
             if self._store.get("servers", server.name) is not None:
                 await self._store.remove("servers", server.name)
         server.restart()
+        self._crashed_servers.remove(number)
         self._server_starts[number] += 1
         await self._register_server(number)
 
--- a/berylweir/standin/gateway_platform/server.py
+++ b/berylweir/standin/gateway_platform/server.py
@@ -59,6 +59,7 @@
             rejected this one and asked so.
         has_statements: Whether its response said any of that. A response that
             another server should get the request doesn't.
+        instance: Number of times that the server had started again.
     """
 
     request_id: str
@@ -67,6 +68,7 @@
     is_leaving: bool
     pause_s: float | None
     has_statements: bool = True
+    instance: int = 0
 
 
 class Server:
@@ -136,6 +138,7 @@
         self._highest_tokens: dict[int, int] = {}
         self._in_flight_by_key: dict[int, int] = {}
         self._request_ended = asyncio.Condition()
+        self._instance = 0
 
     def holds(self, key: int) -> bool:
         """Returns whether it has a grant of the key that is not expired."""
@@ -209,6 +212,7 @@
                 self.is_leaving,
                 self.rejection_pause_s if is_full else None,
                 has_statements=not is_misdirected,
+                instance=self._instance,
             )
         )
         if is_misdirected:
@@ -258,6 +262,7 @@
 
     def restart(self) -> None:
         """Ends the statements and forgets all keys, as a new start does."""
+        self._instance += 1
         self.limit_per_s = None
         self.is_leaving = False
         self._grants.clear()
