--- a/berylweir/gateway/dispatch/suspects.py
+++ b/berylweir/gateway/dispatch/suspects.py
@@ -99,6 +99,11 @@
             collections.OrderedDict()
         )
 
+    @property
+    def loss_count(self) -> int:
+        """Number of lost connections that are remembered."""
+        return sum(len(losses.ends) for losses in self._losses.values())
+
     def check(
         self, requirements: messages.ServerRequirements, now_s: float
     ) -> messages.NotPlaced | None:
@@ -297,10 +302,12 @@
             if until_s <= now_s:
                 del self._investigated_until_s[fingerprint]
         for instance, losses in list(self._losses.items()):
-            if all(
-                end.ended_s < now_s - _LOSS_MEMORY_S
-                for end in losses.ends.values()
-            ):
+            losses.ends = {
+                fingerprint: end
+                for fingerprint, end in losses.ends.items()
+                if end.ended_s > now_s - _LOSS_MEMORY_S
+            }
+            if not losses.ends:
                 del self._losses[instance]
         for instance, probed_s in list(self._probed_s.items()):
             if probed_s < now_s - _PROBED_S:
--- a/tests/gateway/dispatch/test_suspects.py
+++ b/tests/gateway/dispatch/test_suspects.py
@@ -165,6 +165,19 @@
         ]
         assert sum(map(len, probed)) < 6
 
+    def test_losses_at_an_overloaded_server_fill_the_memory(self):
+        """Guards against requests that are remembered for good."""
+        harness = Harness()
+        harness.overload()
+        for number in range(3000):
+            now_s = 1.0 + 0.02 * number
+            harness.finish(
+                messages.AttemptResult.EXPIRED, now_s, fingerprint=1000 + number
+            )
+            if number % 50 == 0:
+                harness.suspects.forget_old(now_s)
+        assert harness.suspects.loss_count < 600
+
     def test_second_loss_of_a_request_is_taken_for_overload(self):
         """Guards against missing a harmful request while servers are full."""
         harness = Harness()
