Let an operator's decision lift only the refusal that it was made for

The object of a lifted refusal stays in the store until the next entry is written. Any change of another entry in that time, or later while the store is away, made all VMs apply the old decision to the new refusal. Found by reading; the test failed before.

--- a/berylweir/crash_suspects/quarantine.py
+++ b/berylweir/crash_suspects/quarantine.py
@@ -58,8 +58,9 @@
     def __init__(self) -> None:
         """Creates a quarantine without entries."""
         self._entries: dict[int, Entry] = {}
-        # When this VM learned that a refusal was lifted, as Unix time in ms.
-        self._lifted_ms: dict[int, float] = {}
+        # The last lifted entry of a request, and when this VM learned of it,
+        # as Unix time in ms.
+        self._lifted: dict[int, tuple[Entry, float]] = {}
 
     @property
     def entries(self) -> Mapping[int, Entry]:
@@ -123,7 +124,7 @@
             if not self._is_news(entry, now_ms):
                 continue
             if entry.is_lifted:
-                self._lifted_ms[entry.fingerprint] = now_ms
+                self._lifted[entry.fingerprint] = entry, now_ms
             self._entries[entry.fingerprint] = entry
             changed.append(entry)
         self._forget(now_ms)
@@ -131,12 +132,13 @@
 
     def _is_news(self, entry: Entry, now_ms: float) -> bool:
         known = self._entries.get(entry.fingerprint)
+        lifted, lifted_ms = self._lifted.get(entry.fingerprint, (None, 0.0))
         if entry.is_lifted:
-            return known is not None and not known.is_lifted
+            # The store may still have the object of an earlier refusal.
+            return known is not None and not known.is_lifted and entry != lifted
         if entry.forgotten_ms <= now_ms:
             return False
-        lifted_ms = self._lifted_ms.get(entry.fingerprint)
-        if lifted_ms is not None and entry.started_ms <= lifted_ms:
+        if lifted is not None and entry.started_ms <= lifted_ms:
             return False
         return known is None or entry.until_ms > known.until_ms
 
@@ -150,4 +152,4 @@
 
     def _remove(self, fingerprint: int) -> None:
         del self._entries[fingerprint]
-        self._lifted_ms.pop(fingerprint, None)
+        self._lifted.pop(fingerprint, None)
--- a/tests/crash_suspects/test_quarantine.py
+++ b/tests/crash_suspects/test_quarantine.py
@@ -62,6 +62,24 @@
         assert known.merge([again], 4000) == [again]
         assert known.left_ms(_F, 4000) > 0
 
+    def test_old_decision_lifts_a_later_refusal(self):
+        """Guards against a store that still has the object of an earlier lift.
+
+        The new entry isn't written at once, or not while the store is away.
+        """
+        known = quarantine.Quarantine()
+        entry = build(known, 1000)
+        known.merge([entry], 1000)
+        lifted = dataclasses.replace(entry, until_ms=0)
+        known.merge([lifted], 2000)
+        again = build(known, 4000)
+        known.merge([again], 4000)
+        assert known.merge([lifted], 5000) == []
+        assert known.left_ms(_F, 5000) > 0
+        lifted_again = dataclasses.replace(again, until_ms=0)
+        assert known.merge([lifted_again], 6000) == [lifted_again]
+        assert known.left_ms(_F, 6000) == 0
+
     def test_entries_fill_the_memory(self):
         """Guards against a quarantine without a bound."""
         known = quarantine.Quarantine()
