Don't count callers that had given up as lost at a planned stop

Trace: freezes of vm-2 follow each other without a pause, 9.06 s in all; the callers give up after 8 s, by their own time-out, and the gateway answers them 7 ms before it handles SIGTERM, 9.2 s after they were sent. The soak took the start of the fault for the time of the signal, which waits for the other faults of the VM.

The time of a planned stop is now that of its signal, so requests that are sent until then are checked too, and those that had ended before don't count.

--- a/berylweir/soak/checks.py
+++ b/berylweir/soak/checks.py
@@ -25,7 +25,7 @@
     - a request was executed though the status says that it wasn't;
     - a response with status 200 is incomplete or belongs to another request;
     - a request that was sent before a planned stop of its gateway got no
-      response.
+      response, though its caller still waited for it then.
 
     Args:
         exchanges: All requests of the callers.
@@ -63,6 +63,7 @@
             and gateway_instance in stop_times_s
             and gateway_instance not in killed_instances
             and exchange.sent_s < stop_times_s[gateway_instance]
+            and exchange.ended_s > stop_times_s[gateway_instance]
         ):
             violations.append(f"lost at a planned stop: {request}")
     return violations
--- a/berylweir/soak/gateways.py
+++ b/berylweir/soak/gateways.py
@@ -7,6 +7,7 @@
 import pathlib
 import signal
 import sys
+import time
 
 from berylweir.platform import settings
 from berylweir.standin import ports
@@ -112,21 +113,24 @@
             await asyncio.sleep(downtime_s)
             await self._start_process()
 
-    async def stop_and_restart(self) -> int:
+    async def stop_and_restart(self) -> tuple[int, float]:
         """Asks the program to end by SIGTERM, and starts it again.
 
         Returns:
             The exit status of the program, also if it had ended before the
-            signal; negative if a signal ended it.
+            signal; negative if a signal ended it. And when the signal was
+            sent, on the monotonic clock, in seconds: it waits for the other
+            faults of the VM.
         """
         async with self._lock:
             process = self._process
+            signalled_s = time.monotonic()
             if process is None:
-                return 0
+                return 0, signalled_s
             self._send_signal(signal.SIGTERM)
             status = await process.wait()
             await self._start_process()
-            return status
+            return status, signalled_s
 
     async def freeze(self, duration_s: float) -> None:
         """Stops the program by SIGSTOP, and continues it after `duration_s`.
--- a/berylweir/soak/runner.py
+++ b/berylweir/soak/runner.py
@@ -472,10 +472,11 @@
             await asyncio.sleep(_STORE_COPY_INTERVAL_S)
 
     async def _stop_gateway(self, gateway: gateways.Gateway) -> None:
+        instance = gateway.instance
+        status, signalled_s = await gateway.stop_and_restart()
         stop = models.PlannedStop(
-            gateway.vm, gateway.instance, time.monotonic() - self._started_s
+            gateway.vm, instance, signalled_s - self._started_s
         )
-        status = await gateway.stop_and_restart()
         if gateway.instance != stop.instance + 1:
             return  # Another fault ended that instance first.
         if status == 0:
--- a/tests/soak/test_checks.py
+++ b/tests/soak/test_checks.py
@@ -86,3 +86,9 @@
         assert not checks.find_violations(
             exchanges, [], [earlier_stop], frozenset()
         )
+
+    async def test_a_caller_that_had_given_up_is_not_lost_at_a_stop(self):
+        """Guards against blaming a stop for a freeze before it."""
+        exchanges = [make_exchange(status=None, ended_s=5.04)]
+        stop = models.PlannedStop(0, 1, 5.05)
+        assert not checks.find_violations(exchanges, [], [stop], frozenset())
