Count the wait after a restoration once for earlier holders

A gateway that took the lease in a restored store waited up to 16.7 s for earlier holders that don't respond, and only then began to count the 14 s for which they may still grant keys.

No earlier holder can confirm its lease once a later one is written, so the time now counts from when this gateway learned that it has the lease.

The new test failed before.

--- a/berylweir/gateway/ownership/lease.py
+++ b/berylweir/gateway/ownership/lease.py
@@ -129,6 +129,8 @@
         # When this gateway last read or wrote itself as the holder. This and
         # the other times are on the boot clock, in seconds.
         self._confirmed_s = float("-inf")
+        # When this gateway learned that it has its newest own lease.
+        self._acquired_s = float("-inf")
         self._holder = holder_monitor.HolderMonitor()
         self._state_changed = asyncio.Event()
         self._report_requested = asyncio.Event()
@@ -219,6 +221,8 @@
         ):
             was_holder = self.is_holder
             self._lease = lease
+            if self._is_own(lease):
+                self._acquired_s = clock.boot_s()
             self._holder.record_lease_change(clock.boot_s())
             _LOGGER.info(
                 "lease changed",
@@ -550,7 +554,8 @@
         self._acting_epoch = own_lease.epoch
         # A restored store may have lost all leases.
         is_first = previous is None and not is_recovery_due
-        predecessors_stop_s = clock.boot_s()
+        # No earlier holder has confirmed its lease since.
+        predecessors_stop_s = self._acquired_s
         if not is_first:
             predecessors_stop_s += grant_expiry.AUTHORITY_S
         self._on_acquired(own_lease, predecessors_stop_s)
--- a/tests/gateway/ownership/test_lease.py
+++ b/tests/gateway/ownership/test_lease.py
@@ -1,12 +1,15 @@
 """Tests of when the lease is taken from its holder."""
 
 import asyncio
+from collections.abc import Callable
 import contextlib
 import time
 
 import result
 
+from berylweir.gateway import clock
 from berylweir.gateway import models
+from berylweir.gateway.ownership import grant_expiry
 from berylweir.gateway.ownership import lease as leases
 from berylweir.gateway.peers import exceptions
 from berylweir.gateway.peers import messages as peers
@@ -134,8 +137,20 @@
 class TestRecovery:
     """A holder that waits before it acts in a restored store."""
 
-    async def test_lease_is_confirmed_during_the_wait(self):
-        """Guards against a waiting holder that is replaced and waits again."""
+    @contextlib.asynccontextmanager
+    async def run_manager(
+        self, on_acquired: Callable[[float], None], duration_s: float
+    ):
+        """Runs a gateway that takes a lease in a restored store.
+
+        Args:
+            on_acquired: Called once it starts to act, with the time until which
+                an earlier holder may grant keys.
+            duration_s: Time for which it must wait before, in seconds.
+
+        Yields:
+            The manager and the store.
+        """
         async with contextlib.AsyncExitStack() as stack:
             lease_store = store_standin.Store()
             lease_store.generation = 1
@@ -144,16 +159,16 @@
                 settings.StoreAddress(("127.0.0.1", port))
             )
             stack.callback(client.close)
-            acquired = []
+            recovered_s = time.monotonic() + duration_s
             manager = leases.LeaseManager(
                 vm("me"),
                 client,
                 SilentGateways(),
                 counters.Counters(),
                 collect_report=asyncio.Future,
-                on_acquired=lambda lease, stop_s: acquired.append(lease),
+                on_acquired=lambda lease, stop_s: on_acquired(stop_s),
                 on_predecessors_stopped=lambda: None,
-                is_recovery_due=lambda epoch: True,
+                is_recovery_due=lambda epoch: time.monotonic() < recovered_s,
                 get_acted_epoch=lambda: 0,
                 get_table_revisions=dict,
                 on_newer_tables=ignore_tables,
@@ -165,6 +180,15 @@
             manager.update_lease(None)
             task = asyncio.create_task(manager.run())
             stack.callback(task.cancel)
+            yield manager, lease_store
+
+    async def test_lease_is_confirmed_during_the_wait(self):
+        """Guards against a waiting holder that is replaced and waits again."""
+        acquired = []
+        async with self.run_manager(acquired.append, float("inf")) as (
+            manager,
+            lease_store,
+        ):
 
             def is_confirmed_twice() -> bool:
                 calls = [c for c in lease_store.calls if c.startswith("GET")]
@@ -175,6 +199,18 @@
             assert not manager.may_act
             assert not acquired
 
+    async def test_earlier_holders_stop_during_the_wait(self):
+        """Guards against waiting twice for holders that don't respond."""
+        stops_s = []
+        async with self.run_manager(stops_s.append, 2.0) as (manager, _):
+            await rig.until(lambda: manager.is_holder)
+            taken_s = clock.boot_s()
+            await rig.until(lambda: bool(stops_s))
+            assert clock.boot_s() - taken_s > 1.0
+            # No earlier holder can confirm its lease after the new one was
+            # written.
+            assert stops_s[0] <= taken_s + grant_expiry.AUTHORITY_S
+
 
 class TestHandOver:
     """A holder that reaches no servers, and the gateway that it chooses."""
