Balance the keys once a holder's authority is confirmed

If the store took a new lease but its answer was lost, the gateway later found itself as the holder and started its epoch before it had confirmed the lease.

Confirming the lease after a time without authority now wakes the keeper.

--- a/berylweir/gateway/ownership/lease.py
+++ b/berylweir/gateway/ownership/lease.py
@@ -72,6 +72,7 @@
         get_table_revisions: Callable[[], Mapping[str, int]],
         on_newer_tables: Callable[[models.Vm], Awaitable[None]],
         on_lost: Callable[[], None],
+        on_authority_confirmed: Callable[[], None],
         on_holder_status: Callable[[peers.GatewayStatus], None],
         is_store_up: Callable[[], bool],
         is_isolated: Callable[[], bool] = lambda: False,
@@ -98,6 +99,8 @@
             on_newer_tables: Called then with a gateway that has newer key
                 tables than this one.
             on_lost: Called when this gateway no longer holds the lease.
+            on_authority_confirmed: Called when it may act again after a time
+                without confirmation of its lease.
             on_holder_status: Called with the status in each response of the
                 holder.
             is_store_up: Returns whether the store answers this VM or a gateway
@@ -123,6 +126,7 @@
         self._on_acquired = on_acquired
         self._on_predecessors_stopped = on_predecessors_stopped
         self._on_lost = on_lost
+        self._on_authority_confirmed = on_authority_confirmed
         self._lease: models.Lease | None = None
         self._has_read_lease = False
         self._succession = succession.Succession(local_vm, is_isolated)
@@ -409,10 +413,7 @@
                         self._is_own(lease)
                         and not self._is_of_earlier_generation()
                     ):
-                        self._confirmed_s = read_started_s
-                        self._history.record_evidence(
-                            lease.epoch, read_started_s
-                        )
+                        self._record_confirmation(lease, read_started_s)
                 return True
             case result.Err(failure):
                 self._metrics.count("lease.unconfirmed")
@@ -425,6 +426,15 @@
                 )
         return False
 
+    def _record_confirmation(
+        self, lease: models.Lease, read_started_s: float
+    ) -> None:
+        could_act = self.may_act
+        self._confirmed_s = read_started_s
+        self._history.record_evidence(lease.epoch, read_started_s)
+        if self.may_act and not could_act:
+            self._on_authority_confirmed()
+
     async def _report_to_holder(self) -> None:
         """Sends the holder a report and checks that it responds as such."""
         lease = self._lease
--- a/berylweir/gateway/ownership/task.py
+++ b/berylweir/gateway/ownership/task.py
@@ -138,6 +138,7 @@
             get_table_revisions=get_table_revisions,
             on_newer_tables=self._fetch_tables,
             on_lost=self._on_lease_lost,
+            on_authority_confirmed=self._state_changed.set,
             on_holder_status=self._refresh_stale_tables,
             is_store_up=is_store_up,
             is_isolated=lambda: self._reports.is_isolated,
--- a/berylweir/standin/gateway_platform/store.py
+++ b/berylweir/standin/gateway_platform/store.py
@@ -61,6 +61,8 @@
         calls: Method and path of each call.
         next_faults: Faults of the next calls, one for each.
         default_fault: Fault of each call once `next_faults` is empty.
+        faults_by_call: Fault of the next call with a method and path; comes
+            before the others.
     """
 
     def __init__(self) -> None:
@@ -75,6 +77,7 @@
         self.calls: list[str] = []
         self.next_faults: list[Fault] = []
         self.default_fault: Fault | None = None
+        self.faults_by_call: dict[str, Fault] = {}
 
     def get(self, kind: str, name: str) -> dict[str, Any] | None:
         """Returns an object, if it exists."""
@@ -130,11 +133,9 @@
 
     async def handle(self, request: http.Request) -> http.Response:
         """Serves a call, or applies the fault that is set for it."""
-        self.calls.append(f"{request.method} {request.path}")
-        fault = (
-            self.next_faults.pop(0) if self.next_faults else self.default_fault
-        )
-        match fault:
+        call = f"{request.method} {request.path}"
+        self.calls.append(call)
+        match self._take_fault(call):
             case Fault.REFUSE:
                 return http.Response(503)
             case Fault.LIMIT:
@@ -160,6 +161,13 @@
             headers={**response.headers, "Store-Era": str(self.generation)},
         )
 
+    def _take_fault(self, call: str) -> Fault | None:
+        if call in self.faults_by_call:
+            return self.faults_by_call.pop(call)
+        if self.next_faults:
+            return self.next_faults.pop(0)
+        return self.default_fault
+
     async def _serve(self, request: http.Request) -> http.Response:
         if request.method != "GET":
             return await self._write(request)
--- a/tests/gateway/ownership/test_lease.py
+++ b/tests/gateway/ownership/test_lease.py
@@ -94,6 +94,7 @@
                 get_table_revisions=dict,
                 on_newer_tables=ignore_tables,
                 on_lost=lambda: None,
+                on_authority_confirmed=lambda: None,
                 on_holder_status=lambda status: None,
                 is_store_up=lambda: True,
             )
@@ -173,6 +174,7 @@
                 get_table_revisions=dict,
                 on_newer_tables=ignore_tables,
                 on_lost=lambda: None,
+                on_authority_confirmed=lambda: None,
                 on_holder_status=lambda status: None,
                 is_store_up=lambda: True,
             )
@@ -276,6 +278,7 @@
                 get_table_revisions=dict,
                 on_newer_tables=ignore_tables,
                 on_lost=lambda: None,
+                on_authority_confirmed=lambda: None,
                 on_holder_status=lambda status: None,
                 is_store_up=lambda: True,
                 is_isolated=lambda: is_isolated,
--- a/tests/gateway/test_keyed_path.py
+++ b/tests/gateway/test_keyed_path.py
@@ -144,6 +144,22 @@
             )
             await rig.until(lambda: all_owned(deployment))
 
+    async def test_a_holder_whose_lease_got_no_answer_grants_keys(self):
+        """Guards against a holder that confirms its lease but doesn't act."""
+        async with rig.Rig() as deployment:
+            await deployment.configure(
+                {"slots": True}, [rig.route("k", "slots")]
+            )
+            await deployment.add_server("s0", "slots", is_keyed=True)
+            released = {"holder": "", "incarnation": "", "epoch": 3}
+            await deployment.store.put("berylweir", "lease", released)
+            write = "PUT /berylweir/objects/berylweir/lease"
+            deployment.store.faults_by_call[write] = (
+                store_standin.Fault.LOSE_ANSWER
+            )
+            await deployment.add_gateway("vm-0")
+            await rig.until(lambda: all_owned(deployment))
+
     async def test_a_superseded_holder_moves_no_keys(self):
         """Guards against a former holder that overwrites the new table."""
         async with start_deployment() as deployment:
