Order with a new id in the demo while the outcome is unknown

make run failed now and then with "order: 409; the same order through another entry VM: 409 unknown". The demo waited 1.2 s before its order, so that the id was created later than 1 s after the home got the slice, but keys may move during that wait: in two traced runs the home had got the slice 0.58 s and 0.84 s before the order. The answer is right.

The demo now orders again, with a new id, until the outcome is known.

--- a/berylweir/demo.py
+++ b/berylweir/demo.py
@@ -1,6 +1,7 @@
 """Runs a small deployment in one process and sends real requests to it."""
 
 import asyncio
+import dataclasses
 import sys
 import time
 import uuid
@@ -15,6 +16,23 @@
 _KEY_COUNT = 60
 _MAX_LOOKUPS = 5
 _READY_TIMEOUT_S = 10.0
+# An id that was created less than 1 s after its slice got another home is
+# answered as unknown, since the former home may have run it.
+_MAX_ORDERS = 10
+_ORDER_RETRY_S = 0.5
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Order:
+    """An order and the response to it.
+
+    Attributes:
+        request_id: Idempotency key with which it was sent last.
+        response: The response to that request.
+    """
+
+    request_id: str
+    response: httpx.Response
 
 
 def _groups() -> tuple[deployment.GroupSpec, ...]:
@@ -71,6 +89,33 @@
     return owners
 
 
+async def place_order(client: httpx.AsyncClient, url: str, key: str) -> Order:
+    """Orders, with a new id for each answer that the outcome is unknown.
+
+    None of the ids was sent before, so none of these orders has run.
+
+    Args:
+        client: Client that sends the order.
+        url: URL of an entry VM.
+        key: Key of the order.
+    """
+    for attempt in range(_MAX_ORDERS):
+        if attempt > 0:
+            await asyncio.sleep(_ORDER_RETRY_S)
+        request_id = _uuid7()
+        response = await _send_order(client, url, key, request_id)
+        if response.headers.get("berylweir-outcome") != "unknown":
+            break
+    return Order(request_id, response)
+
+
+async def _send_order(
+    client: httpx.AsyncClient, url: str, key: str, request_id: str
+) -> httpx.Response:
+    headers = {"berylweir-key": key, "idempotency-key": request_id}
+    return await client.post(f"{url}/stock/order", headers=headers)
+
+
 async def _run_demo() -> int:
     async with (
         deployment.Deployment(_groups()) as cluster,
@@ -88,19 +133,10 @@
             f"lookups of {_KEY_COUNT} keys through {len(urls)} entry VMs: "
             f"{single_owner_keys} keys had one owner"
         )
-        order_headers = {
-            "berylweir-key": "key-1",
-            "idempotency-key": _uuid7(),
-        }
-        # Ids created less than `clock_skew_s` (1 s) after a VM became home get
-        # an unknown outcome, so the order's id is created later than that.
-        await asyncio.sleep(1.2)
-        order_headers["idempotency-key"] = _uuid7()
-        first_response = await client.post(
-            f"{urls[0]}/stock/order", headers=order_headers
-        )
-        second_response = await client.post(
-            f"{urls[1]}/stock/order", headers=order_headers
+        order = await place_order(client, urls[0], "key-1")
+        first_response = order.response
+        second_response = await _send_order(
+            client, urls[1], "key-1", order.request_id
         )
         print(
             f"order: {first_response.status_code}; the same order "
