--- a/berylweir/ctl/quarantine.py
+++ b/berylweir/ctl/quarantine.py
@@ -3,9 +3,6 @@
 They read and write the objects in the platform's store.
 """
 
-import asyncio
-from collections.abc import Awaitable
-from collections.abc import Callable
 import dataclasses
 import datetime
 import time
@@ -17,9 +14,9 @@
 from berylweir.crash_suspects import quarantine
 from berylweir.ctl import exceptions
 from berylweir.ctl import output
+from berylweir.ctl import platform_store
 from berylweir.platform import exceptions as store_exceptions
 from berylweir.platform import objects
-from berylweir.platform import settings
 from berylweir.platform import store
 
 _T = TypeVar("_T")
@@ -33,7 +30,7 @@
         address: `host:port` of the store.
         as_json: Whether to print JSON instead of a table.
     """
-    match _call(address, _read_entries):
+    match platform_store.run(address, _read_entries):
         case result.Ok(entries):
             rows = [_row(entry) for entry in entries]
             output.show(rows, rows, as_json=as_json)
@@ -56,45 +53,18 @@
                 "fingerprint", f"{text!r} is not 16 hexadecimal digits"
             )
         )
-    return _call(address, lambda client: _lift(client, address, number))
-
-
-def _call(
-    address: str,
-    work: Callable[[store.StoreClient], Awaitable[_Outcome[_T]]],
-) -> _Outcome[_T]:
-    host, _, port = address.rpartition(":")
-    if not host or not port.isdecimal():
-        return result.Err(
-            exceptions.BadInput("--store", f"{address!r} is not HOST:PORT")
-        )
-
-    async def run() -> _Outcome[_T]:
-        client = store.StoreClient(settings.StoreAddress((host, int(port))))
-        try:
-            return await work(client)
-        finally:
-            client.close()
-
-    return asyncio.run(run())
+    return platform_store.run(
+        address, lambda client: _lift(client, address, number)
+    )
 
 
 async def _read_entries(
     client: store.StoreClient,
 ) -> _Outcome[list[quarantine.Entry]]:
-    match await client.list_all(objects.GATEWAY_KIND):
-        case result.Err(failure):
-            return result.Err(exceptions.Unreachable("store", repr(failure)))
-        case result.Ok(listing):
-            decoded = map(objects.decode_gateway_object, listing.objects)
-            return result.Ok(
-                [
-                    entry.ok_value
-                    for entry in decoded
-                    if isinstance(entry, result.Ok)
-                    and isinstance(entry.ok_value, quarantine.Entry)
-                ]
-            )
+    listed = await platform_store.list_gateway_objects(client)
+    return listed.map(
+        lambda found: [o for o in found if isinstance(o, quarantine.Entry)]
+    )
 
 
 async def _lift(
