Show which build each VM runs

Operators of an upgrade could see neither which build a VM runs nor whether all VMs have a capability. The VM's object states the id, `started` logs it, a gateway logs the first VM of each other build, and berylweirctl builds shows all of them and which VMs lack a capability.

--- /dev/null
+++ b/berylweir/ctl/builds.py
@@ -0,0 +1,84 @@
+"""The command that shows which build each VM runs.
+
+It reads the gateways' objects in the platform's store.
+"""
+
+import collections
+from collections.abc import Sequence
+
+import result
+
+from berylweir.ctl import exceptions
+from berylweir.ctl import output
+from berylweir.ctl import platform_store
+from berylweir.gateway import models
+from berylweir.platform import store
+
+_Outcome = result.Result[None, exceptions.Failure]
+# Builds of before this field was added don't state one.
+_UNSTATED_BUILD = "unknown"
+
+
+def show(address: str, *, as_json: bool) -> _Outcome:
+    """Prints the build and the capabilities of each registered VM.
+
+    Args:
+        address: `host:port` of the store.
+        as_json: Whether to print JSON instead of a table.
+    """
+    match platform_store.run(address, _read_vms):
+        case result.Ok(vms):
+            pass
+        case failure:
+            return failure
+    rows = [
+        {
+            "vm": vm.name,
+            "availability_zone": vm.availability_zone,
+            "build": vm.build or _UNSTATED_BUILD,
+            "capabilities": sorted(vm.capabilities),
+        }
+        for vm in vms
+    ]
+    counts = collections.Counter(vm.build or _UNSTATED_BUILD for vm in vms)
+    missing = missing_capabilities(vms)
+    report = {
+        "vms": rows,
+        "builds": dict(counts),
+        "capabilities_missing_on": missing,
+    }
+    output.show(rows, report, as_json=as_json)
+    if not as_json:
+        for build, count in counts.most_common():
+            print(f"{build}: {count} of {len(vms)} VMs")
+        for capability, names in missing.items():
+            print(f"{capability}: not on {', '.join(names)}")
+    return result.Ok(None)
+
+
+def missing_capabilities(vms: Sequence[models.Vm]) -> dict[str, list[str]]:
+    """Returns the VMs that lack a capability which others have.
+
+    Args:
+        vms: All registered VMs.
+
+    Returns:
+        Names of the VMs by capability; none if an upgrade is complete.
+    """
+    known: set[str] = set().union(*(vm.capabilities for vm in vms))
+    missing = {
+        capability: [v.name for v in vms if capability not in v.capabilities]
+        for capability in sorted(known)
+    }
+    return {capability: names for capability, names in missing.items() if names}
+
+
+async def _read_vms(
+    client: store.StoreClient,
+) -> result.Result[list[models.Vm], exceptions.Failure]:
+    listed = await platform_store.list_gateway_objects(client)
+    return listed.map(
+        lambda found: sorted(
+            (o for o in found if isinstance(o, models.Vm)), key=lambda v: v.name
+        )
+    )
--- a/berylweir/ctl/program.py
+++ b/berylweir/ctl/program.py
@@ -18,6 +18,7 @@
 import rich.live
 
 from berylweir import conf
+from berylweir.ctl import builds
 from berylweir.ctl import client as api_client
 from berylweir.ctl import decisions
 from berylweir.ctl import exceptions
@@ -35,8 +36,8 @@
 
 Commands of the groups: zone out, zone back, zone status, server drain, server
 back, server lost, rollout watch, quarantine list, quarantine lift. Each command
-has its own --help. Those of quarantine need no API: they use the platform's
-store, whose address is that of --store.
+has its own --help. Those of quarantine, and builds, need no API: they use the
+platform's store, whose address is that of --store.
 
 Exit codes: 0 success; 1 failure; 2 invalid option or file; 3 conflict with
 another change; 4 refused, because too little capacity would be left or the
@@ -553,6 +554,17 @@
     return exceptions.ExitCode.OK
 
 
+def show_builds(*, store: str, json: bool = False) -> int:
+    """Shows the build and the capabilities of each VM's gateway.
+
+    Args:
+        store: HOST:PORT of the platform's store.
+        json: Print JSON instead of a table.
+    """
+    _unwrap(builds.show(store, as_json=json))
+    return exceptions.ExitCode.OK
+
+
 def _print_stderr(text: str) -> None:
     print(f"berylweirctl: {text}", file=sys.stderr)
 
@@ -601,6 +613,7 @@
         },
         "rollout": {"watch": watch},
         "quarantine": {"list": list_quarantine, "lift": lift_quarantine},
+        "builds": show_builds,
         "explain": explain,
         "check": check,
     }
--- a/berylweir/gateway/models.py
+++ b/berylweir/gateway/models.py
@@ -248,6 +248,7 @@
             it takes none.
         capabilities: What its build can do beyond the first one. Other gateways
             use none that they don't find here.
+        build: Id of its build; empty if the build doesn't state one.
     """
 
     name: str
@@ -259,6 +260,7 @@
     size: VmSize = VmSize()
     forward_port: int = 0
     capabilities: frozenset[str] = frozenset()
+    build: str = ""
 
     @property
     def judges_requests(self) -> bool:
--- a/berylweir/gateway/supervisor.py
+++ b/berylweir/gateway/supervisor.py
@@ -6,6 +6,8 @@
 import http
 import uuid
 
+from berylweir import build_id
+from berylweir.gateway import fleet_builds
 from berylweir.gateway import models
 from berylweir.gateway import registration
 from berylweir.gateway import store_cache
@@ -78,6 +80,7 @@
         size=environment.size,
         forward_port=environment.forward_port,
         capabilities=frozenset({models.JUDGES_REQUESTS}),
+        build=build_id.build_id(),
     )
 
     generation = store_generation.StoreGeneration()
@@ -118,6 +121,7 @@
         permit_task.on_store_update,
         suspect_task.on_store_update,
         quarantine_writer.on_store_update,
+        fleet_builds.FleetBuilds(local_vm, metrics).on_store_update,
     ]
     cache = store_cache.StoreCache(subscribers, metrics)
     reader = table_reader.TableReader(
--- a/berylweir/platform/objects.py
+++ b/berylweir/platform/objects.py
@@ -30,6 +30,8 @@
 # Highest number of a JSON integer that all writers represent exactly.
 _MAX_INTEGER = 2**53
 _MAX_PORT = 65_535
+# A longer id of another build is cut off.
+_MAX_BUILD_LENGTH = 40
 # Highest number of slots of a server that is taken for possible.
 _MAX_SLOTS = 100_000
 # Longest warm-up time of a server that is taken for possible, in ms.
@@ -230,6 +232,7 @@
     # 0 if the gateway takes no forwarded requests.
     forward_port: Annotated[int, msgspec.Meta(ge=0, le=_MAX_PORT)] = 0
     capabilities: list[str] = []
+    build: str = ""
 
 
 class _QuarantineSpec(msgspec.Struct):
@@ -307,6 +310,7 @@
             models.VmSize(vm.link_mbps, vm.cores),
             vm.forward_port,
             frozenset(vm.capabilities),
+            vm.build[:_MAX_BUILD_LENGTH],
         )
     )
 
@@ -432,6 +436,7 @@
             vm.size.cores,
             vm.forward_port,
             sorted(vm.capabilities),
+            vm.build,
         )
     )
 
--- a/berylweir/process.py
+++ b/berylweir/process.py
@@ -7,6 +7,7 @@
 
 import uvloop
 
+from berylweir import build_id
 from berylweir.observability import logs
 from berylweir.supervision import supervisor
 
@@ -57,7 +58,7 @@
             on_reload()
 
         loop.add_signal_handler(signal.SIGHUP, on_reload_signal)
-    _LOGGER.info("started")
+    _LOGGER.info("started", extra={"build": build_id.build_id()})
     try:
         await supervisor.run_root(root, stop_event)
     finally:
