Roll builds out amid the other faults of a soak

Until now each restart changed the build of a gateway, so that a fleet never stayed mixed for long, nor was one upgraded in order. A canary, an upgrade that stops half-way and is completed or rolled back, and one more change follow, each by planned stops in an order that depends on the lease holder, which may be frozen.

--- a/berylweir/soak/gateways.py
+++ b/berylweir/soak/gateways.py
@@ -52,6 +52,9 @@
         )
         self._process: asyncio.subprocess.Process | None = None
         self._instance = 0
+        # Index of the build that it runs from the next start on; None if the
+        # build changes with each start.
+        self._selected_build: int | None = None
         self._newest_answering_instance = 0
         # Serialises the faults of this VM; those of several VMs may overlap.
         self._lock = asyncio.Lock()
@@ -69,6 +72,8 @@
         """
         if not self._builds:
             return None
+        if self._selected_build is not None:
+            return self._builds[self._selected_build % len(self._builds)]
         return self._builds[(self._vm + self._instance) % len(self._builds)]
 
     @property
@@ -97,6 +102,14 @@
         """TCP port for callers."""
         return self._port
 
+    def select_build(self, number: int) -> None:
+        """Has the program run one build from its next start on.
+
+        Args:
+            number: Index of the build.
+        """
+        self._selected_build = number
+
     async def start(self, stack: contextlib.AsyncExitStack) -> None:
         """Starts the program, and kills it when `stack` closes."""
         stack.push_async_callback(self._kill_process)
--- a/berylweir/soak/models.py
+++ b/berylweir/soak/models.py
@@ -34,6 +34,34 @@
     vm: int
 
 
+class RolloutOrder(enum.Enum):
+    """Order in which the VMs of a rollout change their build."""
+
+    AS_LISTED = "as_listed"
+    HOLDER_FIRST = "holder_first"
+    HOLDER_LAST = "holder_last"
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Rollout:
+    """Replaces the build of gateways one after the other, by planned stops.
+
+    Attributes:
+        build: Index of the new build. Gateways that run it are restarted too.
+        vms: Numbers of the gateways' VMs.
+        order: Order in which they change.
+        pause_s: Time between two of them, in seconds.
+        freeze_s: Time for which the lease holder is frozen meanwhile, in
+            seconds; 0 if it isn't.
+    """
+
+    build: int
+    vms: tuple[int, ...]
+    order: RolloutOrder
+    pause_s: float
+    freeze_s: float
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Freeze:
     """Stops a gateway by SIGSTOP for `duration_s` seconds."""
@@ -179,6 +207,7 @@
 Fault = (
     Kill
     | Stop
+    | Rollout
     | Freeze
     | Reload
     | StoreLinkFault
--- a/berylweir/soak/program.py
+++ b/berylweir/soak/program.py
@@ -21,6 +21,7 @@
     isolation: bool = False,
     check_isolated: bool = False,
     harmful: bool = False,
+    rollouts: bool = False,
     builds: list[pathlib.Path] | None = None,
 ) -> None:
     """Runs one soak of the gateway programs and prints the violations.
@@ -37,6 +38,10 @@
         check_isolated: Whether it is a violation if they then serve too few
             requests.
         harmful: Also send a request that ends each server that runs it.
+        rollouts: Change the build by rollouts that keep on amid the other
+            faults: a canary, an upgrade that stops half-way and is completed or
+            rolled back, and one more change. All gateways begin with the first
+            of two builds.
         builds: Source trees of the builds that each gateway runs in turn, from
             one start to the next; by default that of this program.
     """
@@ -52,6 +57,7 @@
             has_isolations=isolation,
             checks_isolated=check_isolated,
             has_harmful_request=harmful,
+            has_rollouts=rollouts,
             builds=[build.resolve() for build in builds or ()],
         )
         violations = asyncio.run(_run_soak(soak_run))
--- a/berylweir/soak/runner.py
+++ b/berylweir/soak/runner.py
@@ -11,6 +11,7 @@
 import time
 import typing
 
+from berylweir.platform import objects
 from berylweir.soak import callers
 from berylweir.soak import checks
 from berylweir.soak import disruptions
@@ -21,6 +22,7 @@
 from berylweir.soak import models
 from berylweir.soak import origins
 from berylweir.soak import proxy
+from berylweir.soak import rollouts
 from berylweir.soak import statement_checks
 from berylweir.standin.gateway_platform import caller
 from berylweir.standin.gateway_platform import http
@@ -68,6 +70,7 @@
         has_isolations: bool = False,
         checks_isolated: bool = False,
         has_harmful_request: bool = False,
+        has_rollouts: bool = False,
         builds: Sequence[pathlib.Path] = (),
     ) -> None:
         """Creates a soak that has not started.
@@ -82,10 +85,13 @@
                 serve too few requests.
             has_harmful_request: Whether a caller sends a request that ends each
                 server that runs it.
+            has_rollouts: Whether the build of the gateways is changed by
+                rollouts only, instead of by each restart.
             builds: Source trees of the builds that each gateway runs in turn;
                 none for the build of this process.
         """
         self._builds = builds
+        self._has_rollouts = has_rollouts
         self._vms = vms
         self._has_harmful_request = has_harmful_request
         self._crash_tasks: set[asyncio.Task[None]] = set()
@@ -240,6 +246,8 @@
                 self._builds,
             )
             self._gateways.append(gateway)
+            if self._has_rollouts:
+                gateway.select_build(0)
             await gateway.start(stack)
 
     def _find_vm(self, local_port: int, remote_port: int) -> int | None:
@@ -295,6 +303,9 @@
             len(self._servers),
             has_isolations=self._has_isolations,
         )
+        if self._has_rollouts:
+            schedule += rollouts.generate(self._seed, self._seconds, self._vms)
+            schedule.sort(key=lambda scheduled: scheduled.start_s)
         async with asyncio.TaskGroup() as group:
             for scheduled_fault in schedule:
                 pause_s = (
@@ -338,6 +349,8 @@
                 self._killed_instances.add((vm, gateway.instance - 1))
             case models.Stop(vm):
                 await self._stop_gateway(self._gateways[vm])
+            case models.Rollout():
+                await self._roll_out(fault)
             case models.Freeze(vm, duration_s):
                 await self._gateways[vm].freeze(duration_s)
             case models.Reload(vm):
@@ -382,6 +395,25 @@
             case _:
                 typing.assert_never(fault)
 
+    async def _roll_out(self, rollout: models.Rollout) -> None:
+        """Replaces the build of gateways one after the other."""
+        holder = self._find_holder()
+        async with asyncio.TaskGroup() as group:
+            if rollout.freeze_s > 0.0 and holder is not None:
+                freeze = models.Freeze(holder, rollout.freeze_s)
+                group.create_task(self._apply_fault(freeze))
+            for vm in rollouts.sort_vms(rollout, holder):
+                self._gateways[vm].select_build(rollout.build)
+                await self._apply_fault(models.Stop(vm))
+                await asyncio.sleep(rollout.pause_s)
+
+    def _find_holder(self) -> int | None:
+        """Returns the number of the VM that holds the lease, if one does."""
+        lease = self._store.get(objects.GATEWAY_KIND, objects.LEASE_NAME)
+        if lease is None or not lease["spec"]["holder"]:
+            return None
+        return int(lease["spec"]["holder"].removeprefix("vm-"))
+
     def _on_crash(self, number: int) -> None:
         """Ends a server, which comes back as another instance."""
         if number in self._crashed_servers:
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -1,11 +1,15 @@
 """Short soaks of the gateway programs."""
 
+import io
 import pathlib
+import subprocess
+import tarfile
 
 import pytest
 
 from berylweir.soak import fault_schedule
 from berylweir.soak import models
+from berylweir.soak import rollouts
 from berylweir.soak import runner
 
 _SECONDS = 14.0
@@ -25,6 +29,25 @@
 )
 
 
+_ROOT = pathlib.Path(__file__).parents[2]
+
+
+def check_out(commit: str, directory: pathlib.Path) -> bool:
+    """Writes the files of a commit; returns whether the history has it."""
+    directory.mkdir()
+    archive = subprocess.run(
+        ["git", "archive", commit, "berylweir", "pyproject.toml"],
+        cwd=_ROOT,
+        capture_output=True,
+        check=False,
+    )
+    if archive.returncode != 0:
+        return False
+    with tarfile.open(fileobj=io.BytesIO(archive.stdout)) as files:
+        files.extractall(directory, filter="data")
+    return True
+
+
 class TestSoak:
     """The programs as processes, with faults between and around them."""
 
@@ -63,6 +86,66 @@
         assert await soak.run() == []
 
 
+class TestRollouts:
+    """Changes of the build amid the other faults."""
+
+    # The landing before this one.
+    _PREVIOUS_BUILD = "0254d82"
+
+    async def test_fleet_of_two_builds_breaks_promises(
+        self, tmp_path: pathlib.Path
+    ):
+        """Guards against builds that can't run side by side."""
+        previous = tmp_path / "previous"
+        if not check_out(self._PREVIOUS_BUILD, previous):
+            pytest.skip(f"the history has no commit {self._PREVIOUS_BUILD}")
+        logs = tmp_path / "logs"
+        logs.mkdir()
+        soak = runner.Soak(
+            1,
+            _STATEMENT_SECONDS,
+            logs,
+            has_rollouts=True,
+            builds=(previous, _ROOT),
+        )
+        assert await soak.run() == []
+        started = [
+            line
+            for path in sorted(logs.glob("*.log"))
+            for line in path.read_text(encoding="utf-8").splitlines()
+            if '"message":"started"' in line
+        ]
+        assert any('"build"' in line for line in started)
+        assert any('"build"' not in line for line in started)
+
+    def test_equal_seeds_generate_other_rollouts(self):
+        """Guards against a failure that its seed doesn't reproduce."""
+        assert rollouts.generate(5, 60.0, 3) == rollouts.generate(5, 60.0, 3)
+        assert rollouts.generate(5, 60.0, 3) != rollouts.generate(6, 60.0, 3)
+
+    def test_first_upgrade_changes_all_vms(self):
+        """Guards against rollouts without a time of two builds."""
+        for seed in range(20):
+            canary, half, *rest = rollouts.generate(seed, 60.0, 5)
+            assert len(canary.fault.vms) == 1
+            assert set(canary.fault.vms) < set(half.fault.vms)
+            assert len(half.fault.vms) == 3
+            assert {len(r.fault.vms) for r in rest} == {5}
+            assert {r.fault.build for r in rest} == {0, 1}
+
+    def test_holder_changes_in_any_order(self):
+        """Guards against rollouts that don't meet a change of the lease."""
+
+        def sort_vms(order: models.RolloutOrder, holder: int | None):
+            rollout = models.Rollout(1, (2, 0, 1), order, 1.0, 0.0)
+            return rollouts.sort_vms(rollout, holder)
+
+        assert sort_vms(models.RolloutOrder.HOLDER_FIRST, 0) == [0, 2, 1]
+        assert sort_vms(models.RolloutOrder.HOLDER_LAST, 0) == [2, 1, 0]
+        assert sort_vms(models.RolloutOrder.AS_LISTED, 0) == [2, 0, 1]
+        assert sort_vms(models.RolloutOrder.HOLDER_LAST, None) == [2, 0, 1]
+
+
 class TestFaultSchedule:
     """Schedule of the faults of a soak."""
 
