Keep key tables that arrive before their configuration

The lease holder sends its key tables to a VM as soon as it registers, which may be before the VM has read its configuration. The dispatcher dropped the table of a group that it didn't know, and the cache passes each revision on only once. So a restarted VM that was ready refused all keyed requests with no_owner until the table or the lease changed, in a calm fleet for very long. A group that a newer configuration adds could meet the same.

--- a/berylweir/gateway/dispatch/deployment.py
+++ b/berylweir/gateway/dispatch/deployment.py
@@ -29,6 +29,9 @@
         self._bounds = bounds
         self._leaving = instances
         self._groups: dict[str, dispatch.GroupState] = {}
+        # Newest key tables, also of groups that aren't configured yet: the
+        # lease holder sends its tables as soon as a VM registers.
+        self._tables: dict[str, models.KeyTable] = {}
         self._servers: dict[models.ServerInstance, dispatch.ServerState] = {}
         self._servers_by_group: dict[str, list[dispatch.ServerState]] = {}
         self._evacuated_zones: frozenset[str] = frozenset()
@@ -78,6 +81,7 @@
                     bounds.retry_slack,
                     bounds.retry_window_s,
                 ),
+                self._tables.get(name),
             )
 
     def update_evacuations(self, availability_zones: frozenset[str]) -> None:
@@ -86,10 +90,12 @@
 
     def update_key_table(self, table: models.KeyTable) -> None:
         """Replaces the key table of a group if the given one is newer."""
+        known = self._tables.get(table.group)
+        if known is not None and known.revision >= table.revision:
+            return
+        self._tables[table.group] = table
         group = self._groups.get(table.group)
-        if group is not None and (
-            group.table is None or group.table.revision < table.revision
-        ):
+        if group is not None:
             group.table = table
 
     def update_servers(
