--- a/berylweir/router/ingress/decisions.py
+++ b/berylweir/router/ingress/decisions.py
@@ -5,6 +5,7 @@
 
 from collections.abc import Iterable
 from collections.abc import Mapping
+from collections.abc import Sequence
 import random
 import urllib.parse
 
@@ -386,20 +387,10 @@
 
 
 def select_request_headers(
-    request_headers: Iterable[tuple[bytes, bytes]], connection_field: bytes
+    request_headers: Sequence[tuple[bytes, bytes]],
 ) -> list[tuple[bytes, bytes]]:
-    """Returns the headers of a request that are forwarded.
-
-    Args:
-        request_headers: All headers of the request.
-        connection_field: Value of its `connection` header, or empty. The
-            headers that it names are hop-by-hop too.
-    """
-    connection_options = (
-        frozenset(n.strip().lower() for n in connection_field.split(b",") if n)
-        if connection_field
-        else frozenset()
-    )
+    """Returns the headers of a request that are forwarded."""
+    connection_options = _connection_options(request_headers)
     return [
         (n, v)
         for n, v in request_headers
@@ -412,12 +403,7 @@
 ) -> list[tuple[bytes, bytes]]:
     """Returns the headers of a response without the hop-by-hop ones."""
     response_headers = tuple(response_headers)
-    connection_options: frozenset[bytes] = frozenset()
-    for name, value in response_headers:
-        if name == b"connection":
-            connection_options = frozenset(
-                n.strip().lower() for n in value.split(b",")
-            )
+    connection_options = _connection_options(response_headers)
     return [
         (n, v)
         for n, v in response_headers
@@ -425,6 +411,18 @@
     ]
 
 
+def _connection_options(
+    message_headers: Sequence[tuple[bytes, bytes]],
+) -> frozenset[bytes]:
+    """Returns the names in all `connection` headers; they are hop-by-hop."""
+    return frozenset(
+        option.strip().lower()
+        for name, value in message_headers
+        if name == b"connection"
+        for option in value.split(b",")
+    )
+
+
 def classify_retry(refusal: refusals.Refusal) -> models.Retry:
     """Returns whether a refused request may be sent again.
 
--- a/berylweir/router/ingress/exchange.py
+++ b/berylweir/router/ingress/exchange.py
@@ -205,10 +205,7 @@
         lines = [
             self._head.method.encode() + b" " + self._head.target + b" HTTP/1.1"
         ]
-        request_headers = decisions.select_request_headers(
-            self._head.headers,
-            self._head.headers_by_name.get(b"connection", b""),
-        )
+        request_headers = decisions.select_request_headers(self._head.headers)
         if self._trace_headers is not None:
             request_headers = [
                 f
