Remove the objects of VMs that are gone for good

The lease holder now asks all VMs once a minute and removes those that haven't responded for 10 minutes, by a conditional delete. One that was only cut off finds its object missing and registers again, as before. A change of the lease begins the time anew.

--- a/berylweir/gateway/supervisor.py
+++ b/berylweir/gateway/supervisor.py
@@ -7,6 +7,7 @@
 import uuid
 
 from berylweir import build_id
+from berylweir.gateway import departed_vms
 from berylweir.gateway import fleet_builds
 from berylweir.gateway import models
 from berylweir.gateway import registration
@@ -130,6 +131,10 @@
     subscribers.append(reader.on_store_update)
     registration_task = registration.Registration(local_vm, create_client())
     subscribers.append(registration_task.on_store_update)
+    departed = departed_vms.DepartedVms(
+        local_vm, create_client(), peer_client, metrics
+    )
+    subscribers.append(departed.on_store_update)
     replicas: dict[str, replication.Replica] = {}
     feed = change_feed.ChangeFeed(replicas)
     replication_coordinator = coordinator.ReplicationCoordinator(
@@ -265,6 +270,7 @@
         supervision.ChildSpec(
             "registration", registration_task.run, stop_timeout_s=0.0
         ),
+        supervision.ChildSpec("departed_vms", departed.run, stop_timeout_s=0.0),
         supervision.ChildSpec(
             "relay", replication_coordinator.run, stop_timeout_s=0.0
         ),
