Show the VM that holds the lease with the builds

An upgrade replaces the lease holder last, since each stop of a holder changes the lease; operators had to read that from the store.

--- a/berylweir/ctl/builds.py
+++ b/berylweir/ctl/builds.py
@@ -12,7 +12,6 @@
 from berylweir.ctl import output
 from berylweir.ctl import platform_store
 from berylweir.gateway import models
-from berylweir.platform import store
 
 _Outcome = result.Result[None, exceptions.Failure]
 # Builds of before this field was added don't state one.
@@ -26,17 +25,22 @@
         address: `host:port` of the store.
         as_json: Whether to print JSON instead of a table.
     """
-    match platform_store.run(address, _read_vms):
-        case result.Ok(vms):
+    match platform_store.run(address, platform_store.list_gateway_objects):
+        case result.Ok(found):
             pass
         case failure:
             return failure
+    holder = next((o.holder for o in found if isinstance(o, models.Lease)), "")
+    vms = sorted(
+        (o for o in found if isinstance(o, models.Vm)), key=lambda v: v.name
+    )
     rows = [
         {
             "vm": vm.name,
             "availability_zone": vm.availability_zone,
             "build": vm.build or _UNSTATED_BUILD,
             "capabilities": sorted(vm.capabilities),
+            "holds_lease": vm.name == holder,
         }
         for vm in vms
     ]
@@ -71,14 +75,3 @@
         for capability in sorted(known)
     }
     return {capability: names for capability, names in missing.items() if names}
-
-
-async def _read_vms(
-    client: store.StoreClient,
-) -> result.Result[list[models.Vm], exceptions.Failure]:
-    listed = await platform_store.list_gateway_objects(client)
-    return listed.map(
-        lambda found: sorted(
-            (o for o in found if isinstance(o, models.Vm)), key=lambda v: v.name
-        )
-    )
--- a/berylweir/ctl/platform_store.py
+++ b/berylweir/ctl/platform_store.py
@@ -48,7 +48,7 @@
 async def list_gateway_objects(
     client: store.StoreClient,
 ) -> _Outcome[list[objects.GatewayObject]]:
-    """Returns the gateways' objects that can be decoded."""
+    """Returns the VMs, the lease and refused requests that can be decoded."""
     match await client.list_all(objects.GATEWAY_KIND):
         case result.Err(failure):
             return result.Err(exceptions.Unreachable("store", repr(failure)))
--- a/tests/ctl/test_builds.py
+++ b/tests/ctl/test_builds.py
@@ -44,6 +44,8 @@
                     objects.VM_NAME_PREFIX + one.name,
                     spec,
                 )
+            lease = {"holder": "vm-1", "incarnation": "run-vm-1", "epoch": 4}
+            await store.put(objects.GATEWAY_KIND, objects.LEASE_NAME, lease)
             port = await http.listen(stack, store.handle)
             arguments = ["builds", "--store", f"127.0.0.1:{port}", *options]
             return await asyncio.to_thread(program.run, arguments)
@@ -56,6 +58,8 @@
         assert await self.show(vms, "--json") == 0
         report = json.loads(capsys.readouterr().out)
         assert [v["build"] for v in report["vms"]] == ["aa", "bb", "unknown"]
+        holds_lease = [v["holds_lease"] for v in report["vms"]]
+        assert holds_lease == [False, True, False]
         assert report["builds"] == {"aa": 1, "bb": 1, "unknown": 1}
         assert report["capabilities_missing_on"] == {"x": ["vm-2"]}
 
