Measure what it costs to replace the gateways of a fleet

An upgrade replaces all of them, and nothing said what one replacement costs. make replacements stops and starts real gateways in turn, the lease holder first or last, under steady requests, and measures the time until they are ready, requests that aren't served, times, lease changes, owners of keys and calls to the store.

--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 BIN := $(BERYLWEIR_VENV)/bin
 STAMP := $(BERYLWEIR_VENV)/.installed
 
-.PHONY: run test lint format bench bench-hop bench-idle crashes slopes limits soak soak-programs history recovery rollout report
+.PHONY: run test lint format bench bench-hop bench-idle crashes replacements slopes limits soak soak-programs history recovery rollout report
 
 $(STAMP): pyproject.toml
 	test -x $(BIN)/python || python3 -m venv $(BERYLWEIR_VENV)
@@ -34,6 +34,9 @@
 crashes: $(STAMP)
 	$(BIN)/python -m bench.crashes
 
+replacements: $(STAMP)
+	$(BIN)/python -m bench.replacements
+
 slopes: $(STAMP)
 	$(BIN)/python -m bench.slopes
 
--- a/berylweir/soak/gateways.py
+++ b/berylweir/soak/gateways.py
@@ -37,7 +37,7 @@
         """
         self._builds = builds
         self._vm = vm
-        self._port, ready_port, peer_port, self._metrics_port = (
+        self._port, self._ready_port, peer_port, self._metrics_port = (
             ports.free_ports(4)
         )
         self._settings_path = directory / f"vm-{vm}.toml"
@@ -46,7 +46,7 @@
             f'node = "vm-{vm}"\nip = "{_LOOPBACK}"\nzone = "a"\n'
             f"portRange = [{peer_port}, {peer_port}]\n"
             f'listen = {{ front = "{_LOOPBACK}:{self._port}", '
-            f'ready = "{_LOOPBACK}:{ready_port}" }}\n'
+            f'ready = "{_LOOPBACK}:{self._ready_port}" }}\n'
             f'infra = {{ addr = "{_LOOPBACK}:{store_port}" }}\n',
             encoding="utf-8",
         )
@@ -115,6 +115,22 @@
         stack.push_async_callback(self._kill_process)
         await self._start_process()
 
+    async def is_ready(self) -> bool:
+        """Returns the result of the load balancer's readiness check."""
+        try:
+            reader, writer = await asyncio.open_connection(
+                _LOOPBACK, self._ready_port
+            )
+        except OSError:
+            return False
+        try:
+            writer.write(b"GET /berylweir/readyz HTTP/1.1\r\nHost: x\r\n\r\n")
+            return b" 200 " in await reader.readline()
+        except OSError:
+            return False
+        finally:
+            writer.close()
+
     async def kill_and_restart(self, downtime_s: float) -> None:
         """Kills the program with SIGKILL and starts it again.
 
