--- a/bench/replacements.py
+++ b/bench/replacements.py
@@ -86,11 +86,11 @@
         ready_p50_s: Median time from the end of a gateway's process until the
             new one was ready, in seconds.
         ready_max_s: Longest such time.
-        calm_sent: Requests in the calm time before, and those served.
-        calm_served: Those served with status 200.
+        calm_sent: Requests in the calm time before.
+        calm_served: Those of them that were served with status 200.
         calm_p99_ms: 99th percentile of their times, in milliseconds.
         sent: Requests during the replacements.
-        served: Those served with status 200.
+        served: Those of them that were served with status 200.
         p99_ms: 99th percentile of their times, in milliseconds.
         lease_changes: Leases that were written.
         owner_changes: Changes of the owner of one of 64 keys.
--- a/berylweir/ctl/builds.py
+++ b/berylweir/ctl/builds.py
@@ -5,6 +5,7 @@
 
 import collections
 from collections.abc import Sequence
+from typing import Any
 
 import result
 
@@ -14,7 +15,7 @@
 from berylweir.gateway import models
 
 _Outcome = result.Result[None, exceptions.Failure]
-# Builds of before this field was added don't state one.
+# Shown for builds up to 0254d82, which state none.
 _UNSTATED_BUILD = "unknown"
 
 
@@ -34,17 +35,8 @@
     vms = sorted(
         (o for o in found if isinstance(o, models.Vm)), key=lambda v: v.name
     )
-    rows = [
-        {
-            "vm": vm.name,
-            "availability_zone": vm.availability_zone,
-            "build": vm.build or _UNSTATED_BUILD,
-            "capabilities": sorted(vm.capabilities),
-            "holds_lease": vm.name == holder,
-        }
-        for vm in vms
-    ]
-    counts = collections.Counter(vm.build or _UNSTATED_BUILD for vm in vms)
+    rows = [_row(vm, holds_lease=vm.name == holder) for vm in vms]
+    counts = collections.Counter(row["build"] for row in rows)
     missing = missing_capabilities(vms)
     report = {
         "vms": rows,
@@ -60,6 +52,16 @@
     return result.Ok(None)
 
 
+def _row(vm: models.Vm, *, holds_lease: bool) -> dict[str, Any]:
+    return {
+        "vm": vm.name,
+        "availability_zone": vm.availability_zone,
+        "build": vm.build or _UNSTATED_BUILD,
+        "capabilities": sorted(vm.capabilities),
+        "holds_lease": holds_lease,
+    }
+
+
 def missing_capabilities(vms: Sequence[models.Vm]) -> dict[str, list[str]]:
     """Returns the VMs that lack a capability which others have.
 
