Report a gateway as ready only once it listens for callers

The readiness check is served while the last parts of a gateway start. It answered that the gateway is ready as soon as the configuration was known, which may be before the listener for callers is open, so a load balancer could send callers whose connections are refused.

--- a/berylweir/gateway/ingress/task.py
+++ b/berylweir/gateway/ingress/task.py
@@ -118,12 +118,14 @@
         self._draining = draining
         self._metrics = metrics
         self._connections: set[protocol.CallerConnection] = set()
+        self._is_listening = False
 
     @property
     def is_ready(self) -> bool:
         """Whether the load balancer should send new connections here."""
         return (
-            self._request_handler.route_table is not None
+            self._is_listening
+            and self._request_handler.route_table is not None
             and not self._draining.is_set()
         )
 
@@ -139,6 +141,8 @@
             reuse_address=True,
         )
         context.stack.callback(server.close)
+        self._is_listening = True
+        context.stack.callback(self._record_closed)
         timeout_task = loop.create_task(self._check_timeouts())
         context.stack.callback(timeout_task.cancel)
         stop_task = loop.create_task(self._drain_when_stopped(context))
@@ -147,6 +151,9 @@
         await self._draining.wait()
         await self._drain(server)
 
+    def _record_closed(self) -> None:
+        self._is_listening = False
+
     async def _drain_when_stopped(
         self, context: supervision.ChildContext
     ) -> None:
