Test the removal of VMs on a clock of its own

The tests measured silence in real time, so that a loaded machine could make a briefly silent VM look gone. They now set the boot clock and wait for the checks of the task. What they require is the same.

--- a/tests/gateway/test_departed_vms.py
+++ b/tests/gateway/test_departed_vms.py
@@ -8,6 +8,7 @@
 import pytest
 import result
 
+from berylweir.gateway import clock
 from berylweir.gateway import departed_vms
 from berylweir.gateway import messages
 from berylweir.gateway import models
@@ -22,7 +23,9 @@
 from berylweir.supervision import models as supervision
 from tests.gateway import rig
 
-_GONE_AFTER_S = 1.0
+_GONE_AFTER_S = 600.0
+# Time in which other gateways would be asked, in seconds.
+_OBSERVED_S = 0.3
 
 
 class PeerGateways:
@@ -47,12 +50,13 @@
         self.store = store_standin.Store()
         self.gateways = PeerGateways()
         self.vms: dict[str, models.Vm] = {}
+        self.now_s = 1000.0
         self.task = departed_vms.DepartedVms(
             self.build_vm("vm-0", "first"),
             store.StoreClient(settings.StoreAddress(("127.0.0.1", port))),
             self.gateways,
             counters.Counters(),
-            check_interval_s=0.05,
+            check_interval_s=0.01,
             gone_after_s=_GONE_AFTER_S,
         )
 
@@ -79,6 +83,15 @@
         }
         self.task.on_store_update(messages.VmsChanged(self.vms))
 
+    async def pass_time(self, duration_s: float) -> None:
+        """Has the boot clock advance, and waits for a check after that."""
+        self.now_s += duration_s
+        asked = len(self.gateways.asked)
+        # The check that is under way may have begun before.
+        await rig.until(
+            lambda: len(self.gateways.asked) >= asked + 3 * (len(self.vms) - 1)
+        )
+
     def give_lease(self, holder: str, epoch: int = 1) -> None:
         """Announces the holder of the lease."""
         lease = models.Lease(holder, "first", epoch, 1)
@@ -91,7 +104,7 @@
 
 
 @pytest.fixture
-async def fleet() -> AsyncIterator[Fleet]:
+async def fleet(monkeypatch: pytest.MonkeyPatch) -> AsyncIterator[Fleet]:
     async with contextlib.AsyncExitStack() as stack:
         handlers = []
 
@@ -100,6 +113,7 @@
 
         running = Fleet(await http.listen(stack, handle))
         handlers.append(running.store.handle)
+        monkeypatch.setattr(clock, "boot_s", lambda: running.now_s)
         for name in ("vm-0", "vm-1", "vm-2"):
             await running.register(name, "first")
         context = supervision.ChildContext(stack)
@@ -114,6 +128,10 @@
     async def test_gone_vm_is_counted_for_ever(self, fleet: Fleet):
         """Guards against limits that are divided among VMs that are gone."""
         fleet.give_lease("vm-0")
+        await fleet.pass_time(0.0)
+        await fleet.pass_time(0.9 * _GONE_AFTER_S)
+        assert fleet.is_registered("vm-2")
+        await fleet.pass_time(0.1 * _GONE_AFTER_S)
         await rig.until(lambda: not fleet.is_registered("vm-2"))
         assert fleet.is_registered("vm-0")
         assert fleet.is_registered("vm-1")
@@ -121,7 +139,9 @@
     async def test_other_gateways_remove_vms_too(self, fleet: Fleet):
         """Guards against calls of all gateways to all others."""
         fleet.give_lease("vm-1")
-        await asyncio.sleep(2.0 * _GONE_AFTER_S)
+        await asyncio.sleep(_OBSERVED_S)
+        fleet.now_s += 2.0 * _GONE_AFTER_S
+        await asyncio.sleep(_OBSERVED_S)
         assert fleet.is_registered("vm-2")
         assert not fleet.gateways.asked
 
@@ -129,16 +149,19 @@
         """Guards against the removal of a VM that was cut off for a while."""
         fleet.give_lease("vm-0")
         for _ in range(8):
-            await asyncio.sleep(0.25 * _GONE_AFTER_S)
+            await fleet.pass_time(0.5 * _GONE_AFTER_S)
             fleet.gateways.silent ^= {"vm-2"}
+        await fleet.pass_time(0.0)
         assert fleet.is_registered("vm-2")
 
     async def test_restarted_vm_is_removed(self, fleet: Fleet):
         """Guards against a removal for the silence of an earlier run."""
         fleet.give_lease("vm-0")
-        await asyncio.sleep(0.5 * _GONE_AFTER_S)
+        await fleet.pass_time(0.0)
+        await fleet.pass_time(0.8 * _GONE_AFTER_S)
         await fleet.register("vm-2", "second")
-        await asyncio.sleep(0.7 * _GONE_AFTER_S)
+        await fleet.pass_time(0.8 * _GONE_AFTER_S)
+        await fleet.pass_time(0.0)
         assert fleet.is_registered("vm-2")
 
     async def test_object_that_has_just_changed_is_removed(self, fleet: Fleet):
@@ -146,12 +169,16 @@
         fleet.give_lease("vm-0")
         name = objects.VM_NAME_PREFIX + "vm-2"
         await fleet.store.put(objects.GATEWAY_KIND, name, {"incarnation": "x"})
-        await asyncio.sleep(2.0 * _GONE_AFTER_S)
+        await fleet.pass_time(0.0)
+        await fleet.pass_time(_GONE_AFTER_S)
+        await fleet.pass_time(0.0)
         assert fleet.is_registered("vm-2")
 
     async def test_new_holder_counts_the_silence_before(self, fleet: Fleet):
         """Guards against a removal after a time that nobody has observed."""
         for epoch in range(1, 5):
             fleet.give_lease("vm-0", epoch)
-            await asyncio.sleep(0.5 * _GONE_AFTER_S)
+            await fleet.pass_time(0.0)
+            await fleet.pass_time(0.8 * _GONE_AFTER_S)
+        await fleet.pass_time(0.0)
         assert fleet.is_registered("vm-2")
