--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -177,8 +177,9 @@
         kinds = {
             type(scheduled_fault.fault)
             for seed in range(20)
-            for scheduled_fault in fault_schedule.generate(
-                seed, 60.0, 3, 8, has_isolations=True
+            for scheduled_fault in (
+                *fault_schedule.generate(seed, 60.0, 3, 8, has_isolations=True),
+                *rollouts.generate(seed, 60.0, 3),
             )
         }
         assert kinds == set(models.Fault.__args__)
