--- /dev/null
+++ b/review/build.sh
@@ -0,0 +1,8 @@
+#!/usr/bin/env bash
+# Builds the stand-ins of the review: compiles them, and checks that they can be
+# imported with the packages of the deploy file's build.
+set -euo pipefail
+cd "$(dirname "$0")/.."
+export PYTHONPATH="target/deps:.:review"
+python3 -m compileall -q review berylweir/standin
+python3 -c "from common import backend, cases, clients, gateways, platform, record"
