--- a/review/5/case.py
+++ b/review/5/case.py
@@ -7,12 +7,12 @@
 import sys
 import time
 
-from common import backend
-from common import cases
-from common import clients
-from common import gateways
-from common import platform
-from common import record
+import backend
+import cases
+import clients
+import deployment
+import gateways
+import record
 
 _FOLDER = pathlib.Path(__file__).resolve().parent
 # `maxBodyBytes` of the configuration, and the longest body of the site's
@@ -141,12 +141,12 @@
     """Returns whether the rule held."""
     ends: list[float] = []
     async with contextlib.AsyncExitStack() as stack:
-        place = platform.Platform()
+        place = deployment.Platform()
         servers = [
             backend.Backend(f"i-{n}", "g", log, service_s=_WORK_S)
             for n in range(6)
         ]
-        routes = [platform.route("r", "g", "unsafe", _DEADLINE_MS)]
+        routes = [deployment.route("r", "g", "unsafe", _DEADLINE_MS)]
         await place.start(
             stack, {"g": False}, routes, servers, max_body_bytes=_MAX_BODY_BYTES
         )
--- a/review/common/backend.py
+++ b/review/backend.py
@@ -7,8 +7,7 @@
 import time
 
 import msgspec
-
-from common import record
+import record
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/review/build.sh
+++ b/review/build.sh
@@ -5,4 +5,4 @@
 cd "$(dirname "$0")/.."
 export PYTHONPATH="target/deps:.:review"
 python3 -m compileall -q review berylweir/standin
-python3 -c "from common import backend, cases, clients, gateways, platform, record"
+python3 -c "import backend, cases, clients, deployment, gateways, link, record"
--- a/review/common/cases.py
+++ b/review/cases.py
@@ -8,8 +8,8 @@
 import tempfile
 import traceback
 
-from common import gateways
-from common import record
+import gateways
+import record
 
 _KEPT = 0
 _BROKEN = 1
--- a/review/common/__init__.py
+++ /dev/null
@@ -1,1 +0,0 @@
-"""Stand-ins and helpers that the scripts of the review share."""
--- a/review/common/platform.py
+++ b/review/deployment.py
@@ -4,10 +4,11 @@
 from collections.abc import Sequence
 import contextlib
 
+import backend
+
 from berylweir.standin.gateway_platform import http
 from berylweir.standin.gateway_platform import server as server_standin
 from berylweir.standin.gateway_platform import store as store_standin
-from common import backend
 
 BEAT_S = 0.87
 
--- a/review/common/gateways.py
+++ b/review/gateways.py
@@ -9,7 +9,7 @@
 import socket
 import tomllib
 
-_ROOT = pathlib.Path(__file__).resolve().parents[2]
+_ROOT = pathlib.Path(__file__).resolve().parents[1]
 _METRICS_PORT = 9464
 _PORTS = {"front": 8641, "ready": 8640, "control": 8649}
 _ZONES = ("a", "b", "c")
