Let callers receive the last answer before closing their connection

Cause: the connection was closed right after its last answer was written. A request that crosses that answer then arrives at a closed socket, or is unread when it is closed. Both reset the connection, and the kernel drops what the window of the caller hadn't let it send yet. Idle connections and the answers to invalid requests had the same fault.

Change: the task of a connection closes it by transports/lingering.py: it sends the end of the data, drops input, and closes the socket once the caller has closed it or has acknowledged all data.

--- a/berylweir/gateway/ingress/models.py
+++ b/berylweir/gateway/ingress/models.py
@@ -19,6 +19,11 @@
     reason: str
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Close:
+    """The connection is closed behind the answers before it."""
+
+
 @dataclasses.dataclass(slots=True, eq=False)
 class PendingRequest:
     """A request whose answer hasn't been written completely.
@@ -34,3 +39,6 @@
     keep_alive: bool
     is_idempotent: bool
     task: "asyncio.Task[exchange.Answer] | None" = None
+
+
+Entry = PendingRequest | Violation | Close
--- a/berylweir/gateway/ingress/protocol.py
+++ b/berylweir/gateway/ingress/protocol.py
@@ -19,14 +19,11 @@
 from berylweir.gateway.ingress import models as ingress
 from berylweir.observability import counters
 from berylweir.platform import requests
+from berylweir.transports import lingering
 
 _LOGGER = logging.getLogger(__name__)
 # Reading from a connection pauses while this many requests are queued.
 _MAX_PIPELINED = 32
-# Lingering close, in seconds: closing a socket with unread bytes resets the
-# connection, and the caller might lose the answer. Before that, input is read
-# and dropped for this long.
-_LINGERING_CLOSE_S = 1.0
 _CONTINUE_RESPONSE = b"HTTP/1.1 100 Continue\r\n\r\n"
 _STATUS_LINES = {
     s.value: b"HTTP/1.1 %d %b\r\n" % (s.value, s.phrase.encode())
@@ -75,9 +72,7 @@
         self._parser = httptools.HttpRequestParser(self)
         self._transport: asyncio.Transport | None = None
         self._task: asyncio.Task[None] | None = None
-        self._queue: collections.deque[
-            ingress.PendingRequest | ingress.Violation
-        ] = collections.deque()
+        self._queue: collections.deque[ingress.Entry] = collections.deque()
         self._queue_filled = asyncio.Event()
         self._writable = asyncio.Event()
         self._writable.set()
@@ -281,9 +276,15 @@
             self.close()
 
     def close(self) -> None:
-        """Closes the connection after sending buffered data."""
-        if self._transport is not None:
-            self._transport.close()
+        """Closes the connection once the caller has received all data.
+
+        Input is dropped from now on.
+        """
+        if self._is_input_closed:
+            return
+        self._is_input_closed = True
+        self._queue.append(ingress.Close())
+        self._queue_filled.set()
 
     def abort(self) -> None:
         """Closes the connection at once; buffered data is lost."""
@@ -299,7 +300,8 @@
                     self._queue_filled.clear()
                     await self._queue_filled.wait()
                 if not await self._answer_next():
-                    return
+                    break
+            await self._linger()
         except exceptions.ResponseTruncatedError:
             self._metrics.count("gateway.response.cut")
             self.abort()
@@ -310,10 +312,19 @@
 
     async def _answer_next(self) -> bool:
         """Answers the oldest request; returns whether the next may follow."""
-        entry = self._queue[0]
-        if isinstance(entry, ingress.Violation):
-            self._write_violation(entry)
-            return False
+        match self._queue[0]:
+            case ingress.PendingRequest() as entry:
+                return await self._answer_request(entry)
+            case ingress.Violation() as violation:
+                self._write_violation(violation)
+                return False
+            case ingress.Close():
+                return False
+            case _ as entry:
+                typing.assert_never(entry)
+
+    async def _answer_request(self, entry: ingress.PendingRequest) -> bool:
+        """Answers a request; returns whether the next may follow."""
         if entry.task is None:
             self._start_request(entry)
         assert entry.task is not None
@@ -330,7 +341,6 @@
         self._queue.popleft()
         if closes_connection:
             self._cancel_queued_requests()
-            self.close()
             return False
         self._idle_since_s = self._loop.time()
         if self._is_reading_paused and len(self._queue) < _MAX_PIPELINED // 2:
@@ -408,9 +418,15 @@
                 _STATUS_LINES[violation.status]
                 + b"content-length: 0\r\nconnection: close\r\n\r\n"
             )
-            if self._transport.can_write_eof():
-                self._transport.write_eof()
-            self._loop.call_later(_LINGERING_CLOSE_S, self.abort)
+
+    async def _linger(self) -> None:
+        """Closes the connection once the caller has received all data."""
+        if self._transport is None:
+            return
+        if self._is_reading_paused:
+            self._is_reading_paused = False
+            self._transport.resume_reading()
+        await lingering.close(self._transport)
 
     def _reject(self, violation: ingress.Violation) -> None:
         if self._is_input_closed:
--- /dev/null
+++ b/berylweir/transports/__init__.py
@@ -0,0 +1,1 @@
+"""Helpers for the transports of connections."""
--- /dev/null
+++ b/berylweir/transports/lingering.py
@@ -0,0 +1,74 @@
+"""Closes a connection so that the other end receives all that was sent.
+
+Closing a socket with unread bytes, or receiving bytes after it was closed,
+resets the connection. The kernel then drops what it hasn't sent yet, and the
+other end may drop what its program hasn't read. RFC 9112, section 9.6,
+describes the procedure.
+"""
+
+import asyncio
+import fcntl
+import struct
+import termios
+
+# Time after which a connection is closed once the other end has acknowledged
+# all data, in seconds. Until then, requests that it sends before it has read
+# the end of the last response are read and dropped.
+_ACKNOWLEDGED_LINGER_S = 1.0
+# Time without an acknowledgement after which data counts as lost, in seconds.
+_STALLED_LINGER_S = 15.0
+_INT = struct.Struct("i")
+
+
+def count_unacknowledged(transport: asyncio.Transport) -> int:
+    """Returns how many bytes the other end hasn't acknowledged.
+
+    Args:
+        transport: An open transport of a TCP connection.
+    """
+    buffered = transport.get_write_buffer_size()
+    sock = transport.get_extra_info("socket")
+    try:
+        queued = fcntl.ioctl(sock.fileno(), termios.TIOCOUTQ, _INT.pack(0))
+    except OSError:
+        # The socket has been closed, or isn't one of TCP.
+        return buffered
+    (unsent,) = _INT.unpack(queued)
+    return buffered + int(unsent)
+
+
+async def close(transport: asyncio.Transport) -> None:
+    """Sends the end of the data, and closes the connection later.
+
+    It is closed at once if the other end closes it. The owner of the transport
+    drops what it receives meanwhile, and cancels the call when the connection
+    is lost.
+
+    Args:
+        transport: Transport whose reading isn't paused.
+    """
+    if transport.is_closing():
+        return
+    loop = asyncio.get_running_loop()
+    unacknowledged = count_unacknowledged(transport)
+    progress_s = loop.time()
+    if transport.can_write_eof():
+        transport.write_eof()
+    elif unacknowledged == 0:
+        # TLS has no end of one direction, so that a caller can't be told.
+        transport.close()
+        return
+    while True:
+        await asyncio.sleep(_ACKNOWLEDGED_LINGER_S)
+        if transport.is_closing():
+            return
+        before = unacknowledged
+        unacknowledged = count_unacknowledged(transport)
+        if unacknowledged < before:
+            progress_s = loop.time()
+        elif unacknowledged == 0:
+            transport.close()
+            return
+        elif loop.time() - progress_s > _STALLED_LINGER_S:
+            transport.abort()
+            return
