Let callers of the router receive the last response before closing

Cause: the router closed connections as the gateway did, and its lingering close lasted one second whatever was still to be sent. On TLS connections, which can't be half-closed, it raised NotImplementedError.

Change: it uses transports/lingering.py for all orderly closes.

--- a/berylweir/router/ingress/protocol.py
+++ b/berylweir/router/ingress/protocol.py
@@ -15,15 +15,13 @@
 from berylweir.refusals import models as refusals
 from berylweir.router.ingress import exceptions
 from berylweir.router.ingress import models
+from berylweir.transports import lingering
 
 _LOGGER = logging.getLogger(__name__)
 # Reading from the socket pauses above the first size of the unread body, and
 # resumes below the second.
 _PAUSE_READING_BYTES = 262_144
 _RESUME_READING_BYTES = 65_536
-# Closing a socket with unread bytes resets the connection, and the caller may
-# then lose the refusal. So input is read and dropped for this time first.
-_LINGERING_CLOSE_S = 1.0
 _CONTINUE_RESPONSE = b"HTTP/1.1 100 Continue\r\n\r\n"
 _STATUS_LINES = {
     s.value: b"HTTP/1.1 %d %b\r\n" % (s.value, s.phrase.encode())
@@ -351,7 +349,7 @@
             ):
                 self._stop_input(refusals.SlowSender(limit_s))
         elif not self.is_busy and now - self._idle_since_s > idle_timeout_s:
-            self.close()
+            self.begin_close()
 
     def begin_close(self) -> None:
         """Closes the connection once it is idle.
@@ -361,12 +359,7 @@
         """
         self._is_closing = True
         if not self.is_busy and self._head_started_s is None:
-            self.close()
-
-    def close(self) -> None:
-        """Closes the connection after sending the buffered bytes."""
-        if self._transport is not None:
-            self._transport.close()
+            self._wake()
 
     def abort(self) -> None:
         """Closes the connection at once and drops the buffered bytes."""
@@ -468,10 +461,11 @@
             while True:
                 while not self._queue:
                     if self._is_closing:
-                        self.close()
+                        await self._close_lingering()
                         return
                     await self.wait()
                 if not await self._serve_one(self._queue.popleft()):
+                    await self._close_lingering()
                     return
         except exceptions.ResponseCut:
             self._metrics.count("router.response.cut")
@@ -495,7 +489,6 @@
                 models.PLACEHOLDER_HEAD, self, self.now()
             )
             await self._refuse(request_or_refusal, self)
-            self._close_lingering()
             return False
         self._current_request = request_or_refusal
         if self._is_closing:
@@ -503,10 +496,6 @@
         else:
             await self._handler(request_or_refusal, self)
         if self._must_close(request_or_refusal):
-            if request_or_refusal.is_complete and not self._ignores_input:
-                self.close()
-            else:
-                self._close_lingering()
             return False
         self._current_request = None
         self._idle_since_s = self.now()
@@ -530,10 +519,10 @@
             self._queue.append(refusal)
         self._wake()
 
-    def _close_lingering(self) -> None:
-        """Half-closes the connection, and aborts it after a delay.
+    async def _close_lingering(self) -> None:
+        """Closes the connection once the caller has received all data.
 
-        Input is read and dropped until then, see `_LINGERING_CLOSE_S`.
+        Input is read and dropped until then.
         """
         self._ignores_input = True
         self._queue.clear()
@@ -546,8 +535,7 @@
         if self._has_received_eof:
             self._transport.close()
             return
-        self._transport.write_eof()
-        self._loop.call_later(_LINGERING_CLOSE_S, self.abort)
+        await lingering.close(self._transport)
 
     def _pause_if_behind(self) -> None:
         """Pauses reading if requests are queued or much body is unread."""
--- a/tests/router/test_shutdown.py
+++ b/tests/router/test_shutdown.py
@@ -1,10 +1,13 @@
 """Tests of a graceful shutdown."""
 
 import asyncio
+import socket
 
 from tests.router import rig
 
 _SIZE = 4_000_000
+# Fits into the kernel's send buffer.
+_SMALL_BODY = bytes(900_000)
 
 
 async def wait_closed(port: int) -> None:
@@ -103,6 +106,29 @@
             assert runs == 1
             await stopping
 
+    async def test_request_behind_the_last_response_does_not_cut_it_off(self):
+        """Guards against a reset by a request that crosses the response."""
+
+        async def script(stream: rig.Stream) -> None:
+            await stream.next_request()
+            stream.respond(_SMALL_BODY)
+
+        loop = asyncio.get_running_loop()
+        async with rig.Rig(script) as harness, asyncio.timeout(rig.WAIT_S):
+            with socket.socket() as caller:
+                # Most of the response waits in the kernel of the router.
+                caller.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 16_384)
+                caller.setblocking(False)
+                await loop.sock_connect(caller, (rig.HOST, harness.home.port))
+                await loop.sock_sendall(caller, rig.request(connection="close"))
+                await asyncio.sleep(0.3)
+                await loop.sock_sendall(caller, rig.request())
+                await asyncio.sleep(0.3)
+                received = b""
+                while part := await loop.sock_recv(caller, 65_536):
+                    received += part
+                assert received.endswith(b"\r\n\r\n" + _SMALL_BODY)
+
     async def test_request_that_was_still_arriving_is_refused(self):
         """Guards against starting requests after the listener has closed."""
         data = rig.request()
