--- a/berylweir/soak/gateways.py
+++ b/berylweir/soak/gateways.py
@@ -24,6 +24,7 @@
         store_port: int,
         directory: pathlib.Path,
         builds: Sequence[pathlib.Path] = (),
+        memory_mb: int | None = None,
     ) -> None:
         """Chooses free ports and writes the settings file of the gateway.
 
@@ -34,6 +35,8 @@
             builds: Source trees of the builds that the VM runs in turn, from
                 one start to the next; none for the build of this process. Half
                 of the VMs begin with the first one, the others with the next.
+            memory_mb: Memory limit that the settings state, in MiB; None to
+                state none.
         """
         self._builds = builds
         self._vm = vm
@@ -47,7 +50,8 @@
             f"portRange = [{peer_port}, {peer_port}]\n"
             f'listen = {{ front = "{_LOOPBACK}:{self._port}", '
             f'ready = "{_LOOPBACK}:{self._ready_port}" }}\n'
-            f'infra = {{ addr = "{_LOOPBACK}:{store_port}" }}\n',
+            f'infra = {{ addr = "{_LOOPBACK}:{store_port}" }}\n'
+            + (f"limits = {{ ramMb = {memory_mb} }}\n" if memory_mb else ""),
             encoding="utf-8",
         )
         self._process: asyncio.subprocess.Process | None = None
