Limit the memory that request and response bodies use together

Callers lost all requests at a VM whose process exceeded its memory limit: a faulty server that sends bytes without end, slow downloads or long request bodies were enough.

Cause: limits existed for each response and connection, but not for their sum. A response that was streamed existed three times until its caller had read it, and a request body twice.

Change: gateway/body_memory accounts for all bodies, up to a quarter of ramMb, with dynamic thresholds for each server, gateway and route (decision 0026). At the limit responses are streamed without being held for a retry, streams wait for each other, and requests get 503 with Retry-After before their bodies are read. Streams are read in parts of 16 KB and written without being joined.

--- a/berylweir/crash_suspects/fingerprint.py
+++ b/berylweir/crash_suspects/fingerprint.py
@@ -6,7 +6,7 @@
 _SEPARATOR = b"\x00"
 
 
-def compute(*parts: bytes, body: bytes = b"") -> int:
+def compute(*parts: bytes, body: bytes | bytearray = b"") -> int:
     """Returns a hash of what makes a request the same as an earlier one.
 
     Ids, deadlines and other headers that differ between the attempts of a
--- a/berylweir/gateway/exchange/attempt.py
+++ b/berylweir/gateway/exchange/attempt.py
@@ -1,10 +1,13 @@
 """One attempt: sends a request to a backend server and reads the response."""
 
 import asyncio
+import contextlib
 import dataclasses
 
 from berylweir.gateway import messages
 from berylweir.gateway import models
+from berylweir.gateway.body_memory import budget
+from berylweir.gateway.body_memory import models as body_memory
 from berylweir.gateway.dispatch import connection_pool
 from berylweir.gateway.dispatch import task as dispatch
 from berylweir.gateway.exchange import models as exchange
@@ -38,6 +41,7 @@
         inbox: dispatch.Inbox,
         requirements: messages.ServerRequirements,
         placement: messages.Placement,
+        memory: budget.BodyMemory,
     ) -> None:
         """Prepares an attempt; nothing is sent yet.
 
@@ -45,7 +49,9 @@
             inbox: Mailbox of the dispatcher.
             requirements: What the request needs of a server.
             placement: The server that was chosen, and a connection to it.
+            memory: Memory for the response.
         """
+        self._memory = memory
         self._inbox = inbox
         self._requirements = requirements
         self._placement = placement
@@ -162,9 +168,21 @@
         if not head.is_signed or head.has_content_encoding:
             # The body isn't the server's response and may have no end.
             return outcomes.Unknown(), messages.AttemptResult.BROKEN
-        answer = await responses.read_answer(
-            connection, head, stream_deadline_s, self._finish_stream
-        )
+        source = body_memory.ServerResponses(self._placement.server.name)
+        with contextlib.ExitStack() as stack:
+            answer = await responses.read_answer(
+                connection,
+                head,
+                stream_deadline_s,
+                self._finish_stream,
+                stack.enter_context(self._memory.open(source)),
+            )
+            if answer.remaining_body is not None:
+                # The stream itself doesn't end if it was never begun.
+                stack.callback(
+                    self._finish_stream, responses.StreamEnd.ABANDONED
+                )
+            answer = dataclasses.replace(answer, stack=stack.pop_all())
         if head.statements.is_leaving:
             answer = dataclasses.replace(
                 answer, leaving_server=self._placement.server.instance
--- a/berylweir/gateway/exchange/handler.py
+++ b/berylweir/gateway/exchange/handler.py
@@ -7,6 +7,7 @@
 from berylweir.crash_suspects import fingerprint
 from berylweir.gateway import messages
 from berylweir.gateway import models
+from berylweir.gateway.body_memory import budget
 from berylweir.gateway.dispatch import task as dispatch
 from berylweir.gateway.exchange import answers
 from berylweir.gateway.exchange import attempt
@@ -39,6 +40,7 @@
         vm: str,
         inbox: dispatch.Inbox,
         permits_inbox: permits.Inbox,
+        memory: budget.BodyMemory,
         metrics: counters.Counters,
     ) -> None:
         """Creates a handler without a configuration; it refuses all requests.
@@ -47,11 +49,13 @@
             vm: Name of this VM.
             inbox: Mailbox of the dispatcher.
             permits_inbox: Mailbox of the task that gives permits.
+            memory: Memory for the bodies of responses.
             metrics: Counters.
         """
         self._vm = vm
         self._inbox = inbox
         self._permits_inbox = permits_inbox
+        self._memory = memory
         self._metrics = metrics
         self._answers = answers.AnswerBuilder(metrics)
         self._route_table: routing.RouteTable | None = None
@@ -198,7 +202,9 @@
         placement: messages.Placement,
         state: exchange.RequestState,
     ) -> outcomes.Step:
-        sending = attempt.Attempt(self._inbox, requirements, placement)
+        sending = attempt.Attempt(
+            self._inbox, requirements, placement, self._memory
+        )
         outcome = await sending.run(request)
         state.tried_instances |= {placement.server.instance}
         match outcome:
@@ -225,6 +231,11 @@
             remaining_attempts=route.max_servers - state.sent_attempts,
             may_have_run=state.may_have_run,
         )
+        match (outcome, step):
+            case (outcomes.ServerFailed(answer), outcomes.TryAgain()):
+                answer.close()
+            case _:
+                pass
         _LOGGER.info(
             "sent",
             extra={
@@ -260,7 +271,7 @@
             remaining_s * 1000.0,
         )
         outcome = await forwarding.ForwardAttempt(
-            self._inbox, forward, requirements.deadline_s
+            self._inbox, forward, requirements.deadline_s, self._memory
         ).run(request, origin)
         state.tried_vms |= {forward.vm.name}
         if forwarded.may_have_run(outcome):
--- a/berylweir/gateway/exchange/models.py
+++ b/berylweir/gateway/exchange/models.py
@@ -1,6 +1,7 @@
 """A caller's request and its answer."""
 
-from collections.abc import AsyncIterator
+from collections.abc import AsyncGenerator
+import contextlib
 import dataclasses
 import enum
 import typing
@@ -51,7 +52,7 @@
     """
 
     head: requests.RequestHead
-    body: bytes
+    body: bytes | bytearray
     head_received_s: float
     origin: Origin = FromCaller()
 
@@ -102,22 +103,29 @@
     Attributes:
         status: HTTP status code.
         headers: Header fields.
-        body: The body, or its first part if `remaining_body` is set.
-        remaining_body: Streams the rest of a large body while the server sends
-            it; raises `ResponseTruncatedError` if the server doesn't send all
-            of it.
+        body: The body; empty if `remaining_body` is set.
+        remaining_body: Streams a large body while the server sends it; raises
+            `ResponseTruncatedError` if the server doesn't send all of it.
         content_length: Length of the whole body, in bytes; None if unknown.
         kind: What it says of the request.
         leaving_server: The server, if it said that it is leaving.
+        stack: What must be closed once the answer has been written, or is
+            dropped; None if there is nothing.
     """
 
     status: int
     headers: tuple[requests.Header, ...]
     body: bytes
-    remaining_body: AsyncIterator[bytes] | None = None
+    remaining_body: AsyncGenerator[bytes, None] | None = None
     content_length: int | None = None
     kind: AnswerKind = AnswerKind.SERVED
     leaving_server: models.ServerInstance | None = None
+    stack: contextlib.ExitStack | None = None
+
+    def close(self) -> None:
+        """Closes what the answer owns; may be called again."""
+        if self.stack is not None:
+            self.stack.close()
 
 
 @dataclasses.dataclass(slots=True)
--- a/berylweir/gateway/forwarding/client.py
+++ b/berylweir/gateway/forwarding/client.py
@@ -1,9 +1,13 @@
 """Sends a request to another gateway and reads the answer."""
 
 import asyncio
+import contextlib
+import dataclasses
 
 from berylweir.gateway import messages
 from berylweir.gateway import models
+from berylweir.gateway.body_memory import budget
+from berylweir.gateway.body_memory import models as body_memory
 from berylweir.gateway.dispatch import task as dispatch
 from berylweir.gateway.exchange import models as exchange
 from berylweir.gateway.exchange import responses
@@ -39,6 +43,7 @@
         inbox: dispatch.Inbox,
         forward: messages.Forward,
         deadline_s: float,
+        memory: budget.BodyMemory,
     ) -> None:
         """Prepares an attempt; nothing is sent yet.
 
@@ -47,11 +52,14 @@
             forward: The gateway that was chosen, and a connection to it.
             deadline_s: When the request times out, on the loop's clock, in
                 seconds.
+            memory: Memory for the answer.
         """
+        self._memory = memory
         self._inbox = inbox
         self._forward = forward
         self._connection = forward.connection
         self._deadline_s = deadline_s
+        self._is_reported = False
         self._is_draining = False
         self._leaving_server: models.ServerInstance | None = None
         self._loop = asyncio.get_running_loop()
@@ -141,9 +149,22 @@
         self._leaving_server = codec.decode_leaving_server(raw_head.headers)
         if kind is None:
             return outcomes.Unknown(), _Result.UNKNOWN
-        answer = await responses.read_answer(
-            connection, head, stream_deadline_s, self._finish_stream
-        )
+        source = body_memory.GatewayResponses(self._forward.vm.name)
+        with contextlib.ExitStack() as stack:
+            answer = await responses.read_answer(
+                connection,
+                head,
+                stream_deadline_s,
+                self._finish_stream,
+                stack.enter_context(self._memory.open(source)),
+            )
+            if kind is exchange.AnswerKind.SERVED and head.is_signed:
+                if answer.remaining_body is not None:
+                    # The stream itself doesn't end if it was never begun.
+                    stack.callback(
+                        self._finish_stream, responses.StreamEnd.ABANDONED
+                    )
+                answer = dataclasses.replace(answer, stack=stack.pop_all())
         match kind:
             case exchange.AnswerKind.SERVED:
                 if not head.is_signed:
@@ -162,6 +183,9 @@
         self._report(_RESULTS_OF_STREAMS[end])
 
     def _report(self, forward_result: messages.ForwardResult) -> None:
+        if self._is_reported:
+            return
+        self._is_reported = True
         connection = self._connection
         if connection is not None and (
             not connection.is_reusable
--- a/berylweir/gateway/ingress/models.py
+++ b/berylweir/gateway/ingress/models.py
@@ -1,9 +1,13 @@
 """Entries in the queue of a caller's connection."""
 
 import asyncio
+import contextlib
 import dataclasses
+import math
 
+from berylweir.gateway.body_memory import budget
 from berylweir.gateway.exchange import models as exchange
+from berylweir.platform import requests
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -19,6 +23,64 @@
     reason: str
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class NoMemory:
+    """A request whose body doesn't fit into the memory for bodies.
+
+    Attributes:
+        request_id: Id of the request; empty if it has none.
+        size_bytes: Size of the body as far as it is known, in bytes.
+    """
+
+    request_id: str
+    size_bytes: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class RequestTraits:
+    """What the configuration says of a request.
+
+    Attributes:
+        route: Name of its route; empty if no route matches.
+        is_idempotent: Whether it may run more than once.
+    """
+
+    route: str
+    is_idempotent: bool
+
+
+@dataclasses.dataclass(slots=True)
+class IncomingRequest:
+    """A request whose head has been received.
+
+    Attributes:
+        head: The head, decoded.
+        origin: From whom it was received.
+        traits: What the configuration says of it.
+        received_s: When the head was complete, on the loop's clock, in seconds.
+        reservation: Memory of the body.
+        stack: Releases the memory.
+        body: The body as far as it was received.
+    """
+
+    head: requests.RequestHead
+    origin: exchange.Origin
+    traits: RequestTraits
+    received_s: float
+    reservation: budget.Reservation
+    stack: contextlib.ExitStack
+    body: bytearray = dataclasses.field(default_factory=bytearray)
+
+    def is_expired(self, now_s: float) -> bool:
+        """Returns whether the caller waits no longer.
+
+        Args:
+            now_s: Time on the loop's clock, in seconds.
+        """
+        deadline_ms = self.head.deadline_ms or math.inf
+        return now_s > self.received_s + deadline_ms / 1000.0
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Close:
     """The connection is closed behind the answers before it."""
@@ -32,13 +94,27 @@
         request: The request.
         keep_alive: Whether the caller keeps the connection open after it.
         is_idempotent: Whether the request may run more than once.
+        stack: Releases the memory of its body.
         task: Produces the answer; None until the request is started.
     """
 
     request: exchange.CallerRequest
     keep_alive: bool
     is_idempotent: bool
+    stack: contextlib.ExitStack
     task: "asyncio.Task[exchange.Answer] | None" = None
 
+    def drop(self) -> None:
+        """Cancels the request, or drops its answer."""
+        self.stack.close()
+        if self.task is not None:
+            self.task.cancel()
+            self.task.add_done_callback(_close_answer)
+
+
+Entry = PendingRequest | Violation | NoMemory | Close
+
 
-Entry = PendingRequest | Violation | Close
+def _close_answer(task: "asyncio.Task[exchange.Answer]") -> None:
+    if not task.cancelled() and task.exception() is None:
+        task.result().close()
--- a/berylweir/gateway/ingress/protocol.py
+++ b/berylweir/gateway/ingress/protocol.py
@@ -4,7 +4,9 @@
 import collections
 from collections.abc import Awaitable
 from collections.abc import Callable
+from collections.abc import Iterable
 from collections.abc import Sequence
+import contextlib
 import http
 import logging
 import typing
@@ -13,6 +15,8 @@
 import result
 
 from berylweir.gateway import models
+from berylweir.gateway.body_memory import budget
+from berylweir.gateway.body_memory import models as body_memory
 from berylweir.gateway.exchange import exceptions
 from berylweir.gateway.exchange import models as exchange
 from berylweir.gateway.forwarding import codec
@@ -24,6 +28,15 @@
 _LOGGER = logging.getLogger(__name__)
 # Reading from a connection pauses while this many requests are queued.
 _MAX_PIPELINED = 32
+# Write buffer from which on further parts of a body wait, in bytes.
+_WRITE_BUFFER_BYTES = 16_384
+# Digits of the longest `content-length` that is read.
+_MAX_LENGTH_DIGITS = 18
+# Largest body that is copied behind its head, in bytes.
+_MAX_JOINED_BODY_BYTES = 16_384
+# Retry-After if there is no memory for the body of a request, in seconds. Other
+# requests end meanwhile.
+_NO_MEMORY_RETRY_AFTER_S = 1.0
 _CONTINUE_RESPONSE = b"HTTP/1.1 100 Continue\r\n\r\n"
 _STATUS_LINES = {
     s.value: b"HTTP/1.1 %d %b\r\n" % (s.value, s.phrase.encode())
@@ -45,9 +58,10 @@
     def __init__(
         self,
         handle_request: HandleRequest,
-        is_idempotent: Callable[[requests.RequestHead], bool],
+        find_traits: Callable[[requests.RequestHead], ingress.RequestTraits],
         limits: models.CallerLimits,
         connections: "set[CallerConnection]",
+        memory: budget.BodyMemory,
         metrics: counters.Counters,
         decode_head: DecodeHead = codec.decode_caller_request,
     ) -> None:
@@ -55,16 +69,19 @@
 
         Args:
             handle_request: Returns the answer to a request.
-            is_idempotent: Whether a request may run more than once. Other
-                requests wait until all earlier answers have been written.
+            find_traits: Returns what the configuration says of a request.
+                Requests that aren't idempotent wait until all earlier answers
+                have been written.
             limits: Limits on what a caller may send.
             connections: All open connections of the listener.
+            memory: Memory for the bodies of requests.
             metrics: Counters.
             decode_head: Decodes the head of a request and its origin.
         """
         self._decode_head = decode_head
         self._handle_request = handle_request
-        self._is_idempotent = is_idempotent
+        self._find_traits = find_traits
+        self._memory = memory
         self._limits = limits
         self._connections = connections
         self._metrics = metrics
@@ -78,11 +95,7 @@
         self._writable.set()
         self._url = b""
         self._headers: list[tuple[bytes, bytes]] = []
-        self._body_chunks: list[bytes] = []
-        self._body_bytes = 0
-        self._head: requests.RequestHead | None = None
-        self._origin: exchange.Origin = exchange.FromCaller()
-        self._head_received_s = 0.0
+        self._incoming: ingress.IncomingRequest | None = None
         self._received_head_bytes = 0
         self._last_progress_s: float | None = None
         self._idle_since_s = self._loop.time()
@@ -100,6 +113,7 @@
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Stores the transport and starts the task that writes answers."""
         self._transport = typing.cast(asyncio.Transport, transport)
+        self._transport.set_write_buffer_limits(_WRITE_BUFFER_BYTES)
         self._connections.add(self)
         self._task = self._loop.create_task(self._answer_requests())
 
@@ -109,7 +123,7 @@
             return
         if self._last_progress_s is None:
             self._last_progress_s = self._loop.time()
-        if self._head is None:
+        if self._incoming is None:
             self._received_head_bytes += len(data)
         try:
             self._parser.feed_data(data)
@@ -118,7 +132,7 @@
         except httptools.HttpParserError as error:
             self._reject(ingress.Violation(400, f"malformed request: {error}"))
         if (
-            self._head is None
+            self._incoming is None
             and self._received_head_bytes > self._limits.max_header_bytes
         ):
             self._reject(ingress.Violation(431, "the headers are too large"))
@@ -134,12 +148,8 @@
         self._writable.set()
         if self._task is not None:
             self._task.cancel()
-        for entry in self._queue:
-            if (
-                isinstance(entry, ingress.PendingRequest)
-                and entry.task is not None
-            ):
-                entry.task.cancel()
+        self._drop_incoming()
+        self._drop_queued_requests()
 
     def pause_writing(self) -> None:
         """Stops writing while the caller reads more slowly than we write."""
@@ -155,9 +165,7 @@
         """Resets the state for the next request."""
         self._url = b""
         self._headers = []
-        self._body_chunks = []
-        self._body_bytes = 0
-        self._head = None
+        self._drop_incoming()
 
     def on_url(self, url: bytes) -> None:
         """Appends a part of the request target."""
@@ -165,14 +173,16 @@
 
     def on_header(self, name: bytes, value: bytes) -> None:
         """Stores a header field; trailer fields are ignored."""
-        if self._head is None:
+        if self._incoming is None:
             self._headers.append((name.lower(), value))
 
     def on_headers_complete(self) -> None:
         """Decodes the head, checks its size and answers `Expect`."""
         self._received_head_bytes = 0
-        self._head_received_s = self._loop.time()
-        self._last_progress_s = self._head_received_s
+        if self._is_input_closed:
+            return
+        received_s = self._loop.time()
+        self._last_progress_s = received_s
         decoded = self._decode_head(
             self._parser.get_method().decode("latin-1"),
             self._url,
@@ -180,8 +190,7 @@
         )
         match decoded:
             case result.Ok((head, origin)):
-                self._head = head
-                self._origin = origin
+                pass
             case result.Err(failure):
                 self._reject(ingress.Violation(400, failure.reason))
                 return
@@ -191,6 +200,21 @@
         if header_bytes > self._limits.max_header_bytes:
             self._reject(ingress.Violation(431, "the headers are too large"))
             return
+        traits = self._find_traits(head)
+        stack = contextlib.ExitStack()
+        reservation = stack.enter_context(
+            self._memory.open(body_memory.RouteRequests(traits.route))
+        )
+        self._incoming = ingress.IncomingRequest(
+            head, origin, traits, received_s, reservation, stack
+        )
+        stated_bytes = _stated_length(self._headers)
+        if stated_bytes > self._limits.max_body_bytes:
+            self._reject(ingress.Violation(413, "the body is too large"))
+            return
+        if not reservation.hold(stated_bytes, body_memory.Upload()):
+            self._reject(ingress.NoMemory(head.request_id, stated_bytes))
+            return
         expects_continue = any(
             n == b"expect" and v.lower() == b"100-continue"
             for n, v in self._headers
@@ -200,33 +224,44 @@
 
     def on_body(self, body: bytes) -> None:
         """Stores a part of the body and checks its size."""
-        if self._is_input_closed:
+        incoming = self._incoming
+        if self._is_input_closed or incoming is None:
             return
-        self._body_chunks.append(body)
-        self._body_bytes += len(body)
+        incoming.body += body
+        received_bytes = len(incoming.body)
         self._last_progress_s = self._loop.time()
-        if self._body_bytes > self._limits.max_body_bytes:
+        if received_bytes > self._limits.max_body_bytes:
             self._reject(ingress.Violation(413, "the body is too large"))
+            return
+        # A body in chunks states no length.
+        unreserved_bytes = received_bytes - incoming.reservation.held_bytes
+        if unreserved_bytes > 0 and not incoming.reservation.hold(
+            unreserved_bytes, body_memory.Upload()
+        ):
+            self._reject(
+                ingress.NoMemory(incoming.head.request_id, received_bytes)
+            )
 
     def on_message_complete(self) -> None:
         """Queues the request, and starts it if it can run in parallel."""
-        head = self._head
-        self._head = None
+        incoming = self._incoming
         self._last_progress_s = None
-        if self._is_input_closed or head is None:
+        if self._is_input_closed or incoming is None:
+            self._drop_incoming()
             return
-        is_idempotent = self._is_idempotent(head)
+        self._incoming = None
+        is_idempotent = incoming.traits.is_idempotent
         pending = ingress.PendingRequest(
             exchange.CallerRequest(
-                head,
-                b"".join(self._body_chunks),
-                self._head_received_s,
-                self._origin,
+                incoming.head,
+                incoming.body,
+                incoming.received_s,
+                incoming.origin,
             ),
             self._parser.should_keep_alive(),
             is_idempotent,
+            incoming.stack,
         )
-        self._body_chunks = []
         self._queue.append(pending)
         # A request that isn't started before the connection closes counts as
         # not received, so the caller may safely send it again.
@@ -256,7 +291,11 @@
         if self._is_input_closed:
             return
         if self._last_progress_s is not None:
-            if now_s - self._last_progress_s > self._limits.header_timeout_s:
+            is_expired = (
+                self._incoming is not None and self._incoming.is_expired(now_s)
+            )
+            waited_s = now_s - self._last_progress_s
+            if is_expired or waited_s > self._limits.header_timeout_s:
                 self._reject(
                     ingress.Violation(408, "the request arrives too slowly")
                 )
@@ -318,6 +357,9 @@
             case ingress.Violation() as violation:
                 self._write_violation(violation)
                 return False
+            case ingress.NoMemory() as failure:
+                self._write_no_memory(failure)
+                return False
             case ingress.Close():
                 return False
             case _ as entry:
@@ -335,12 +377,14 @@
         if closes_connection:
             # Requests that arrive from now on count as not received.
             self._is_input_closed = True
-        await self._write_answer(
-            entry, answer, closes_connection=closes_connection
-        )
+        with contextlib.closing(answer):
+            await self._write_answer(
+                entry, answer, closes_connection=closes_connection
+            )
         self._queue.popleft()
+        entry.stack.close()
         if closes_connection:
-            self._cancel_queued_requests()
+            self._drop_queued_requests()
             return False
         self._idle_since_s = self._loop.time()
         if self._is_reading_paused and len(self._queue) < _MAX_PIPELINED // 2:
@@ -395,15 +439,21 @@
         if closes_connection:
             lines.append(b"connection: close\r\n")
         lines.append(b"\r\n")
-        if has_body and answer.body:
-            lines.append(_encode_body_part(answer.body, is_chunked))
-        transport.write(b"".join(lines))
+        if has_body and len(answer.body) <= _MAX_JOINED_BODY_BYTES:
+            lines.append(answer.body)
+            transport.write(b"".join(lines))
+        else:
+            transport.write(b"".join(lines))
+            if has_body:
+                transport.write(answer.body)
         await self._writable.wait()
         if answer.remaining_body is None:
             return
-        async for part in answer.remaining_body:
-            transport.write(_encode_body_part(part, is_chunked))
-            await self._writable.wait()
+        async with contextlib.aclosing(answer.remaining_body) as parts:
+            async for part in parts:
+                transport.write(_encode_body_part(part, is_chunked))
+                del part
+                await self._writable.wait()
         if is_chunked:
             transport.write(b"0\r\n\r\n")
 
@@ -419,6 +469,27 @@
                 + b"content-length: 0\r\nconnection: close\r\n\r\n"
             )
 
+    def _write_no_memory(self, failure: ingress.NoMemory) -> None:
+        """Answers 503: no server has run the request or will run it later."""
+        self._metrics.count("gateway.body_memory.rejected")
+        _LOGGER.warning(
+            "no memory for the body of a request",
+            extra={
+                "request": failure.request_id,
+                "size_bytes": failure.size_bytes,
+                "held_bytes": self._memory.held_bytes,
+            },
+        )
+        if self._transport is None:
+            return
+        lines = [_STATUS_LINES[503]]
+        for name, value in requests.encode_error_headers(
+            failure.request_id, _NO_MEMORY_RETRY_AFTER_S
+        ):
+            lines += (name, b": ", value, b"\r\n")
+        lines.append(b"content-length: 0\r\nconnection: close\r\n\r\n")
+        self._transport.write(b"".join(lines))
+
     async def _linger(self) -> None:
         """Closes the connection once the caller has received all data."""
         if self._transport is None:
@@ -428,21 +499,37 @@
             self._transport.resume_reading()
         await lingering.close(self._transport)
 
-    def _reject(self, violation: ingress.Violation) -> None:
+    def _reject(self, failure: ingress.Violation | ingress.NoMemory) -> None:
         if self._is_input_closed:
             return
         self._is_input_closed = True
         self._last_progress_s = None
-        self._queue.append(violation)
+        self._drop_incoming()
+        self._queue.append(failure)
         self._queue_filled.set()
 
-    def _cancel_queued_requests(self) -> None:
+    def _drop_incoming(self) -> None:
+        if self._incoming is not None:
+            self._incoming.stack.close()
+            self._incoming = None
+
+    def _drop_queued_requests(self) -> None:
         for entry in self._queue:
-            if (
-                isinstance(entry, ingress.PendingRequest)
-                and entry.task is not None
-            ):
-                entry.task.cancel()
+            match entry:
+                case ingress.PendingRequest():
+                    entry.drop()
+                case ingress.Violation() | ingress.NoMemory() | ingress.Close():
+                    pass
+                case _:
+                    typing.assert_never(entry)
+
+
+def _stated_length(headers: Iterable[requests.Header]) -> int:
+    """Returns the `content-length` of a request, in bytes; 0 if none."""
+    for name, value in headers:
+        if name == b"content-length" and value.isdigit():
+            return int(value[:_MAX_LENGTH_DIGITS])
+    return 0
 
 
 def _encode_body_part(part: bytes, is_chunked: bool) -> bytes:
--- a/berylweir/gateway/ingress/task.py
+++ b/berylweir/gateway/ingress/task.py
@@ -7,9 +7,11 @@
 import typing
 
 from berylweir.gateway import models
+from berylweir.gateway.body_memory import budget
 from berylweir.gateway.exchange import handler
 from berylweir.gateway.exchange import stopping
 from berylweir.gateway.forwarding import codec
+from berylweir.gateway.ingress import models as ingress
 from berylweir.gateway.ingress import protocol
 from berylweir.observability import counters
 from berylweir.platform import requests
@@ -98,6 +100,7 @@
         request_handler: handler.RequestHandler,
         handle_request: protocol.HandleRequest,
         draining: asyncio.Event,
+        memory: budget.BodyMemory,
         metrics: counters.Counters,
     ) -> None:
         """Creates the ingress.
@@ -109,6 +112,7 @@
             handle_request: Returns the answer to a request.
             draining: Shared by all ingresses of the gateway. The first one
                 that is stopped sets it, so that all drain at the same time.
+            memory: Memory for the bodies of requests.
             metrics: Counters.
         """
         self._listener = listener
@@ -116,6 +120,7 @@
         self._request_handler = request_handler
         self._handle_request = handle_request
         self._draining = draining
+        self._memory = memory
         self._metrics = metrics
         self._connections: set[protocol.CallerConnection] = set()
         self._is_listening = False
@@ -164,9 +169,10 @@
         self._metrics.count(counter_of(self._listener.peer))
         connection = protocol.CallerConnection(
             self._handle_request,
-            self._is_idempotent,
+            self._find_traits,
             self._get_limits(),
             self._connections,
+            self._memory,
             self._metrics,
             self._listener.decode_head,
         )
@@ -174,12 +180,14 @@
             connection.announce_close()
         return connection
 
-    def _is_idempotent(self, head: requests.RequestHead) -> bool:
+    def _find_traits(self, head: requests.RequestHead) -> ingress.RequestTraits:
         route_table = self._request_handler.route_table
         route = route_table.match(head.host, head.path) if route_table else None
-        return (
-            route is not None
-            and route.idempotency is models.Idempotency.IDEMPOTENT
+        if route is None:
+            return ingress.RequestTraits("", is_idempotent=False)
+        return ingress.RequestTraits(
+            route.name,
+            is_idempotent=route.idempotency is models.Idempotency.IDEMPOTENT,
         )
 
     def _get_limits(self) -> models.CallerLimits:
--- a/berylweir/gateway/models.py
+++ b/berylweir/gateway/models.py
@@ -421,6 +421,10 @@
     max_hold_ms: float = 10_000.0
 
 
+# Memory limit of a process if the settings state none: that of the smallest VM.
+DEFAULT_MEMORY_BYTES = 300 * 2**20
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Environment:
     """Settings that the platform passes to the gateway at its start.
@@ -437,6 +441,7 @@
         size: Capacity of the VM.
         forward_port: TCP port for requests that other gateways forward; 0 to
             take none.
+        memory_bytes: Memory limit of the process, in bytes.
     """
 
     vm: str
@@ -449,3 +454,4 @@
     bounds: Bounds
     size: VmSize = VmSize()
     forward_port: int = 0
+    memory_bytes: int = DEFAULT_MEMORY_BYTES
--- a/berylweir/gateway/supervisor.py
+++ b/berylweir/gateway/supervisor.py
@@ -12,6 +12,8 @@
 from berylweir.gateway import models
 from berylweir.gateway import registration
 from berylweir.gateway import store_cache
+from berylweir.gateway.body_memory import budget
+from berylweir.gateway.body_memory import decisions as body_memory
 from berylweir.gateway.dispatch import probes as server_probes
 from berylweir.gateway.dispatch import task as dispatch
 from berylweir.gateway.exchange import handler
@@ -110,8 +112,11 @@
     quarantine_writer = store_writer.QuarantineWriter(
         local_vm, create_client(), quarantine_inbox, metrics
     )
+    memory = budget.BodyMemory(
+        body_memory.body_bytes(environment.memory_bytes), metrics
+    )
     request_handler = handler.RequestHandler(
-        environment.vm, dispatch_inbox, permits_inbox, metrics
+        environment.vm, dispatch_inbox, permits_inbox, memory, metrics
     )
     snapshot_client = snapshots.SnapshotClient(local_vm, peer_client)
     subscribers: list[store_cache.Subscriber] = [
@@ -212,6 +217,7 @@
         request_handler,
         request_handler.handle,
         draining,
+        memory,
         metrics,
     )
     forward_server = ingress.Ingress(
@@ -220,6 +226,7 @@
         request_handler,
         forwarding.create_handler(request_handler.handle),
         draining,
+        memory,
         metrics,
     )
 
--- a/berylweir/platform/settings.py
+++ b/berylweir/platform/settings.py
@@ -34,6 +34,8 @@
     # so a VM counts as one core that is this many times as fast.
     cores: float = 0.0
     link_mbps: float = 0.0
+    # Memory limit of the process, in MiB; 0 if there is none.
+    ram_mb: float = 0.0
 
 
 class _Settings(msgspec.Struct, frozen=True, rename="camel"):
@@ -132,6 +134,8 @@
                     raw.limits.cpu_share * raw.limits.cores,
                 ),
                 forward_port=_choose_forward_port(raw.port_range),
+                memory_bytes=int(raw.limits.ram_mb * 2**20)
+                or models.DEFAULT_MEMORY_BYTES,
             )
         )
     except (tomllib.TOMLDecodeError, msgspec.MsgspecError, ValueError) as error:
--- a/berylweir/router/backends/connection.py
+++ b/berylweir/router/backends/connection.py
@@ -14,7 +14,13 @@
 from berylweir.router.backends import exceptions
 from berylweir.router.backends import response_limits
 
-_PAUSE_READING_BYTES = 262_144
+# Bytes that are read from a socket at once. Reading pauses while as many are
+# buffered, so that a connection holds twice as many at most.
+_READ_BYTES = 65_536
+_SMALL_READ_BYTES = 16_384
+# Receive buffer of the socket, in bytes. The kernel would enlarge it to
+# megabytes, which stay in use while the body isn't read.
+_RECEIVE_BUFFER_BYTES = 131_072
 # TCP keepalive ends a silent connection after 3 s: the first probe is sent
 # after 1 s without data, the second 1 s later, and the connection ends if
 # there is no reply to either within another second.
@@ -45,7 +51,12 @@
     headers: tuple[tuple[bytes, bytes], ...]
 
 
-class Connection(asyncio.Protocol):
+# All connections of a loop read into the same buffer: the event loop fills it
+# and passes it on in one step.
+_READ_BUFFER = memoryview(bytearray(_READ_BYTES))
+
+
+class Connection(asyncio.BufferedProtocol):
     """A connection that carries one exchange at a time.
 
     Reading from the socket pauses while the response body is not consumed, and
@@ -161,6 +172,7 @@
         self._is_paused = False
         self._has_framing = False
         self._is_skipped = False
+        self._read_bytes = _READ_BYTES
         self._matches_request: Callable[[Headers], bool] | None = None
         self._meter = response_limits.ResponseMeter(self._limits)
         self._body_bytes = 0
@@ -174,11 +186,21 @@
         self._complete = True
         sock = self._transport.get_extra_info("socket")
         self._poll.register(sock.fileno(), select.POLLIN)
+        sock.setsockopt(
+            socket.SOL_SOCKET, socket.SO_RCVBUF, _RECEIVE_BUFFER_BYTES
+        )
         if self._reset_on_close:
             sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _LINGER_RESET)
 
-    def data_received(self, data: bytes) -> None:
+    def get_buffer(self, sizehint: int) -> memoryview:
+        """Returns the buffer for the next bytes."""
+        return _READ_BUFFER[: self._read_bytes]
+
+    def buffer_updated(self, nbytes: int) -> None:
         """Passes received bytes to the parser."""
+        self._receive(_READ_BUFFER[:nbytes])
+
+    def _receive(self, data: memoryview) -> None:
         self._has_response_bytes = True
         self._last_received_s = self._loop.time()
         if self._complete:
@@ -284,10 +306,8 @@
         self._body.append(body)
         self._body_bytes += len(body)
         self._buffered += len(body)
-        if self._buffered > _PAUSE_READING_BYTES and not self._is_paused:
-            self._is_paused = True
-            if self._transport is not None:
-                self._transport.pause_reading()
+        if self._buffered >= self._read_bytes:
+            self._pause_reading()
         self._wake()
 
     def on_message_complete(self) -> None:
@@ -359,7 +379,7 @@
         self._exchange_started_s = self._loop.time()
         self._transport.write(head)
 
-    def write(self, data: bytes) -> None:
+    def write(self, data: bytes | bytearray) -> None:
         """Sends a part of the request body.
 
         Raises:
@@ -402,6 +422,33 @@
             await self._wait()
         return self.read_available()
 
+    async def read_whole(self, limit_bytes: int) -> bytes:
+        """Reads a body that is short if the server is sound.
+
+        Args:
+            limit_bytes: Longest body, in bytes.
+
+        Raises:
+            ConnectionCut: If the connection ended before the whole body
+                arrived.
+            MalformedResponse: If the response is not valid HTTP, or its body
+                is longer.
+        """
+        parts = []
+        size_bytes = 0
+        while part := await self.read_body():
+            size_bytes += len(part)
+            if size_bytes > limit_bytes:
+                raise exceptions.MalformedResponse(
+                    f"the body exceeds {limit_bytes} bytes"
+                )
+            parts.append(part)
+        return b"".join(parts)
+
+    def read_in_small_parts(self) -> None:
+        """Buffers little of the rest of the response."""
+        self._read_bytes = _SMALL_READ_BYTES
+
     def read_available(self) -> bytes:
         """Returns the buffered part of the body without waiting."""
         if not self._body:
@@ -431,6 +478,25 @@
         self._is_expired = True
         self.close()
 
+    async def pause(self, duration_s: float) -> None:
+        """Reads nothing from the socket for a time.
+
+        Args:
+            duration_s: The time, in seconds.
+        """
+        self._pause_reading()
+        try:
+            await asyncio.sleep(duration_s)
+        finally:
+            if not self._body:
+                self._resume_reading()
+
+    def _pause_reading(self) -> None:
+        if not self._is_paused:
+            self._is_paused = True
+            if self._transport is not None and not self._is_closed:
+                self._transport.pause_reading()
+
     def _resume_reading(self) -> None:
         if self._is_paused:
             self._is_paused = False
--- a/tests/gateway/ingress/test_readiness.py
+++ b/tests/gateway/ingress/test_readiness.py
@@ -5,6 +5,7 @@
 
 from berylweir.gateway import messages
 from berylweir.gateway import models
+from berylweir.gateway.body_memory import budget
 from berylweir.gateway.dispatch import task as dispatch
 from berylweir.gateway.exchange import handler
 from berylweir.gateway.ingress import task as ingress
@@ -24,8 +25,13 @@
         The readiness check is served while the last parts of the gateway start.
         """
         metrics = counters.Counters()
+        memory = budget.BodyMemory(1_000_000, metrics)
         request_handler = handler.RequestHandler(
-            "vm-0", dispatch.create_inbox(), permits.create_inbox(), metrics
+            "vm-0",
+            dispatch.create_inbox(),
+            permits.create_inbox(),
+            memory,
+            metrics,
         )
         address = ("127.0.0.1", ports.free_ports(1)[0])
         environment = models.Environment(
@@ -44,6 +50,7 @@
             request_handler,
             request_handler.handle,
             asyncio.Event(),
+            memory,
             metrics,
         )
         configuration = models.Configuration(
--- a/tests/gateway/rig.py
+++ b/tests/gateway/rig.py
@@ -336,7 +336,12 @@
         self.ports[name] = host.port
         return host
 
-    async def add_gateway(self, name: str = "vm-1", zone: str = "a") -> Gateway:
+    async def add_gateway(
+        self,
+        name: str = "vm-1",
+        zone: str = "a",
+        memory_bytes: int = models.DEFAULT_MEMORY_BYTES,
+    ) -> Gateway:
         """Starts a gateway and waits until it is ready.
 
         The store refuses the gateway's calls while its name is in `cut_off`,
@@ -368,6 +373,7 @@
                 store_address=("127.0.0.1", store_port),
                 bounds=models.Bounds(),
                 forward_port=free_port(),
+                memory_bytes=memory_bytes,
             )
         )
 
--- a/tests/gateway/test_stop.py
+++ b/tests/gateway/test_stop.py
@@ -10,6 +10,7 @@
 
 from berylweir.gateway import messages
 from berylweir.gateway import models
+from berylweir.gateway.body_memory import budget
 from berylweir.gateway.dispatch import task as dispatch
 from berylweir.gateway.exchange import handler
 from berylweir.gateway.exchange import models as exchange
@@ -231,7 +232,11 @@
         self.inbox = dispatch.create_inbox()
         self.permits_inbox = permits.create_inbox()
         self.handler = handler.RequestHandler(
-            "vm-0", self.inbox, self.permits_inbox, counters.Counters()
+            "vm-0",
+            self.inbox,
+            self.permits_inbox,
+            budget.BodyMemory(1_000_000, counters.Counters()),
+            counters.Counters(),
         )
         route = models.Route(
             "r",
