Limit the length of messages and answers that are read whole

Cause: responses of the store were collected until a timeout, messages of other gateways had no limit, and answers to grants were read as long as they went on.

Change: 16 MiB for the store and for messages, 64 KB for answers to grants.

Evidence: the tests of an endless response of the store and of a message of 17 MiB failed before (the response ended by its timeout, the message was decoded) and pass.

--- a/berylweir/gateway/ownership/grant_client.py
+++ b/berylweir/gateway/ownership/grant_client.py
@@ -14,6 +14,8 @@
 # the requests that are running on the keys have ended.
 _RELEASE_TIMEOUT_S = 2.5
 _CONNECT_TIMEOUT_S = 0.5
+# Longest body of an answer, in bytes. Answers have short bodies or none.
+_MAX_BODY_BYTES = 65_536
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -87,8 +89,7 @@
                 except http_exceptions.ExchangeError:
                     return NotSent()
                 head = await connection.read_head()
-                while await connection.read_body():
-                    pass
+                await connection.read_whole(_MAX_BODY_BYTES)
             has_response = True
             return grants.decode_response(head.status, head.headers)
         except (TimeoutError, http_exceptions.ExchangeError):
--- a/berylweir/gateway/peers/task.py
+++ b/berylweir/gateway/peers/task.py
@@ -25,6 +25,9 @@
 _CONTEXT_RETRY_PAUSE_S = 0.1
 # Largest number of workers, and so of requests handled at the same time.
 _MAX_WORKERS = 256
+# Longest message that is received, in bytes. The longest ones hold all objects
+# of a kind.
+_MAX_MESSAGE_BYTES = 16 * 2**20
 # Timeout of a request to another gateway, in seconds, apart from the time for
 # which the gateway may hold it. The round trip between zones takes
 # milliseconds.
@@ -64,7 +67,7 @@
 
     async def run(self, context: supervision.ChildContext) -> None:
         """Answers until the supervisor stops the child."""
-        socket = pynng.Rep0()
+        socket = pynng.Rep0(recv_max_size=_MAX_MESSAGE_BYTES)
         context.stack.callback(socket.close)
         socket.listen(self._address)
         context.report_ready()
@@ -232,6 +235,7 @@
         socket = self._sockets.get(address)
         if socket is None:
             socket = pynng.Req0(
+                recv_max_size=_MAX_MESSAGE_BYTES,
                 resend_time=_NO_RESEND_MS,
                 reconnect_time_min=50,
                 reconnect_time_max=_RECONNECT_MAX_MS,
--- a/berylweir/platform/store.py
+++ b/berylweir/platform/store.py
@@ -26,6 +26,8 @@
 # Long-poll duration of a watch, in milliseconds. The store allows at most
 # 30,000.
 WATCH_WAIT_MS = 25_000
+# Longest response, in bytes. Pages have about 1 MB, and so has an object.
+_MAX_BODY_BYTES = 16 * 2**20
 _PATH_PREFIX = "/berylweir/objects"
 _GENERATION_HEADER = b"store-era"
 # Highest generation that is taken from a response. It rises by one with each
@@ -414,9 +416,7 @@
                 connection = await self._ensure_connected(host, port)
                 connection.begin(message, is_head_request=False)
                 response = await connection.read_head()
-                parts = []
-                while part := await connection.read_body():
-                    parts.append(part)
+                response_body = await connection.read_whole(_MAX_BODY_BYTES)
             is_complete = True
         except (OSError, TimeoutError, http_exceptions.ExchangeError) as error:
             return result.Err(exceptions.Unreachable(call, repr(error)))
@@ -425,7 +425,6 @@
             # would be mistaken for the response to the next request.
             if not is_complete or not connection.is_reusable:
                 self.close()
-        response_body = b"".join(parts)
         generation = _decode_generation(response.headers)
         self._generation.record(generation)
         if response.status == 409:
--- a/tests/gateway/test_peers.py
+++ b/tests/gateway/test_peers.py
@@ -35,6 +35,26 @@
         assert isinstance(reply.err_value, exceptions.PeerUnresponsive)
 
 
+class TestLongMessages:
+    """Messages that are longer than gateways send them."""
+
+    async def test_message_that_is_too_long_is_not_received(self):
+        """Guards against messages that use up the memory of a VM."""
+        async with rig.Rig() as deployment:
+            await deployment.configure({}, [])
+            gateway = await deployment.add_gateway()
+            address = f"tcp://127.0.0.1:{gateway.environment.peer_port}"
+            with pynng.Req0(dial=address) as sender:
+                await sender.asend(bytes(17 * 2**20))
+                await asyncio.sleep(0.5)
+            with pynng.Req0(dial=address) as sender:
+                await sender.asend(messages.encode(messages.GetStatus()))
+                async with asyncio.timeout(5.0):
+                    reply = messages.decode_reply(await sender.arecv())
+            assert isinstance(reply.unwrap(), messages.GatewayStatus)
+            assert "peers.undecodable" not in gateway.metrics.counts
+
+
 class TestOlderMessages:
     """Messages of gateways of an earlier release."""
 
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -220,3 +220,23 @@
         assert isinstance(
             await client.replace("k", "x", b"4", current.revision), result.Ok
         )
+
+
+class TestLongResponses:
+    """Responses that are longer than the store sends them."""
+
+    async def test_response_without_end_is_given_up(self):
+        """Guards against a store whose response uses up the memory."""
+
+        async def handle(_: http.Request) -> http.Response:
+            return http.Response(200, {}, bytes(65_536), repeats_body=True)
+
+        async with contextlib.AsyncExitStack() as stack:
+            port = await http.listen(stack, handle)
+            client = store.StoreClient(
+                settings.StoreAddress(("127.0.0.1", port))
+            )
+            stack.callback(client.close)
+            failure = (await client.list_all("k")).unwrap_err()
+        assert isinstance(failure, exceptions.Unreachable)
+        assert "the body exceeds" in str(failure)
