Order key tables by epoch before their revision

Cause: tables were ordered by generation and number. Numbers are given out again after a restoration, so the table that the frozen holder wrote into the restored store under its old epoch passed for newer than its successor's.

Change: models.TableOrder orders by epoch, then by revision, and is used by the cache, the keeper, the recovery and the publisher. Statuses state the epochs of tables; earlier builds are compared by revision. A table that the store accepted in a later generation than its epoch's is not acted on.

--- a/berylweir/gateway/models.py
+++ b/berylweir/gateway/models.py
@@ -194,6 +194,25 @@
     previous_owner: ServerInstance | None = None
 
 
+@dataclasses.dataclass(frozen=True, order=True, slots=True)
+class TableOrder:
+    """Order of a key table among all states of its group.
+
+    The epoch comes first. A holder that doesn't know yet that the store was
+    restored from a copy writes its table there under its old epoch, at a
+    revision that may be above those of later epochs. Without a restoration,
+    revisions rise with the epochs.
+
+    Attributes:
+        epoch: Epoch of the lease under which the table was written.
+        revision: Revision at which it was written, in the generation of the
+            store in which the epoch began.
+    """
+
+    epoch: int
+    revision: int
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class KeyTable:
     """Owners of all keys of a server group.
@@ -213,6 +232,11 @@
     next_token: int
     ranges: tuple[KeyRange, ...]
 
+    @property
+    def order(self) -> TableOrder:
+        """Key by which newer tables of a group are higher."""
+        return TableOrder(self.epoch, self.revision)
+
 
 @dataclasses.dataclass(frozen=True, order=True, slots=True)
 class VmSize:
--- a/berylweir/gateway/ownership/holder_check.py
+++ b/berylweir/gateway/ownership/holder_check.py
@@ -11,6 +11,7 @@
 from berylweir.gateway import clock
 from berylweir.gateway import models
 from berylweir.gateway.ownership import election
+from berylweir.gateway.ownership import table_order
 from berylweir.gateway.peers import messages as peers
 from berylweir.gateway.peers import task as peer_task
 
@@ -34,20 +35,14 @@
     are_complete: bool
 
     def vms_with_newer_tables(
-        self, known: Mapping[str, int]
+        self, known: table_order.Orders
     ) -> list[models.Vm]:
-        """Returns the gateways with the newest revision of any key table.
+        """Returns the gateways with the newest state of any key table.
 
         Args:
-            known: Revision of each table that is already known, by name.
+            known: Order of each table that is already known, by name.
         """
-        newest: dict[str, tuple[int, models.Vm]] = {}
-        for vm, status in self.replies:
-            for name, revision in status.tables.items():
-                highest = newest[name][0] if name in newest else known.get(name)
-                if highest is None or revision > highest:
-                    newest[name] = revision, vm
-        return list(dict.fromkeys(vm for _, vm in newest.values()))
+        return table_order.vms_with_newer_tables(self.replies, known)
 
 
 class HolderCheck:
--- a/berylweir/gateway/ownership/lease.py
+++ b/berylweir/gateway/ownership/lease.py
@@ -26,6 +26,7 @@
 from berylweir.gateway.ownership import lease_history
 from berylweir.gateway.ownership import lease_store
 from berylweir.gateway.ownership import succession
+from berylweir.gateway.ownership import table_order
 from berylweir.gateway.ownership import table_recovery
 from berylweir.gateway.peers import messages as peers
 from berylweir.gateway.peers import task as peer_task
@@ -69,7 +70,7 @@
         on_predecessors_stopped: Callable[[], None],
         is_recovery_due: Callable[[int], bool],
         get_acted_epoch: Callable[[], int],
-        get_table_revisions: Callable[[], Mapping[str, int]],
+        get_table_orders: Callable[[], table_order.Orders],
         on_newer_tables: Callable[[models.Vm], Awaitable[None]],
         on_lost: Callable[[], None],
         on_authority_confirmed: Callable[[], None],
@@ -94,7 +95,7 @@
                 from the other gateways before this one acts in an epoch.
             get_acted_epoch: Returns the lowest epoch under which a known key
                 table was written; 0 if none is known.
-            get_table_revisions: Returns the revision of each known key table,
+            get_table_orders: Returns the order of each known key table,
                 by name.
             on_newer_tables: Called then with a gateway that has newer key
                 tables than this one.
@@ -118,7 +119,7 @@
             self._history,
             is_due=is_recovery_due,
             get_acted_epoch=get_acted_epoch,
-            get_table_revisions=get_table_revisions,
+            get_table_orders=get_table_orders,
             on_newer_tables=on_newer_tables,
         )
         self._metrics = metrics
@@ -174,11 +175,11 @@
             and clock.boot_s() - self._confirmed_s < grant_expiry.AUTHORITY_S
         )
 
-    def status(self, tables: dict[str, int]) -> peers.GatewayStatus:
+    def status(self, orders: table_order.Orders) -> peers.GatewayStatus:
         """Returns this gateway's status for a response to another one.
 
         Args:
-            tables: Revision of each known key table, by name.
+            orders: Order of each known key table, by name.
         """
         now_s = clock.boot_s()
         heard_age_s = now_s - self._holder.responded_s
@@ -190,10 +191,11 @@
             and now_s - self._confirmed_s < grant_expiry.AUTHORITY_S,
             heard_age_s if heard_age_s < float("inf") else None,
             now_s - self._confirmed_s if self.is_holder else None,
-            tables,
+            table_order.revisions(orders),
             peers.encode_former_leases(self._history.former),
             self._history.generation,
             generation_age_s if self._history.generation else None,
+            table_order.epochs(orders),
         )
 
     def report_soon(self) -> None:
--- a/berylweir/gateway/ownership/table_publisher.py
+++ b/berylweir/gateway/ownership/table_publisher.py
@@ -12,6 +12,7 @@
 import result
 
 from berylweir.gateway import models
+from berylweir.gateway.ownership import table_order
 from berylweir.gateway.ownership import tables
 from berylweir.gateway.peers import messages as peers
 from berylweir.gateway.peers import task as peer_task
@@ -140,10 +141,7 @@
         current = self._tables.get(stored_table.name)
         if current is not None:
             earlier_tables = current.earlier_tables
-        if (
-            previous_table is not None
-            and previous_table.revision < table.revision
-        ):
+        if previous_table is not None and previous_table.order < table.order:
             earlier_tables[previous_table.revision] = previous_table
             while len(earlier_tables) > _MAX_EARLIER_TABLES:
                 earlier_tables.popitem(last=False)
@@ -193,7 +191,7 @@
         """Sends one table; returns whether the gateway has it."""
         while (latest := self._tables.get(name)) is not None:
             known_revision = known_revisions.get(name, latest.previous_revision)
-            if known_revision >= latest.table.revision:
+            if known_revision == latest.table.revision:
                 return True
             request = latest.build_request(known_revision)
             match await self._client.ask(vm, request):
@@ -201,7 +199,7 @@
                     # If the diff didn't apply, the status still says which
                     # revision the gateway has; the next request builds on it.
                     known_revisions[name] = status.tables.get(name, 0)
-                    if known_revisions[name] >= latest.table.revision:
+                    if not table_order.is_older(status, name, latest.table):
                         return True
                     if isinstance(request, peers.PublishTable):
                         return False
--- a/berylweir/gateway/ownership/table_recovery.py
+++ b/berylweir/gateway/ownership/table_recovery.py
@@ -14,6 +14,7 @@
 from berylweir.gateway.ownership import holder_check
 from berylweir.gateway.ownership import lease_history
 from berylweir.gateway.ownership import recovery_wait
+from berylweir.gateway.ownership import table_order
 from berylweir.gateway.peers import messages as peers
 
 _LOGGER = logging.getLogger(__name__)
@@ -87,7 +88,7 @@
         *,
         is_due: Callable[[int], bool],
         get_acted_epoch: Callable[[], int],
-        get_table_revisions: Callable[[], Mapping[str, int]],
+        get_table_orders: Callable[[], table_order.Orders],
         on_newer_tables: Callable[[models.Vm], Awaitable[None]],
     ) -> None:
         """Creates a recovery; `run` may be called for each lease.
@@ -100,8 +101,7 @@
                 in an epoch.
             get_acted_epoch: Returns the lowest epoch under which a known table
                 was written; 0 if no table is known.
-            get_table_revisions: Returns the revision of each known table, by
-                name.
+            get_table_orders: Returns the order of each known table, by name.
             on_newer_tables: Called with a gateway that has newer tables.
         """
         self._local_vm = local_vm
@@ -109,7 +109,7 @@
         self._history = history
         self._is_due = is_due
         self._get_acted_epoch = get_acted_epoch
-        self._get_table_revisions = get_table_revisions
+        self._get_table_orders = get_table_orders
         self._on_newer_tables = on_newer_tables
 
     def is_due(self, epoch: int) -> bool:
@@ -183,9 +183,9 @@
         """
         statuses = await self._check.collect_statuses(own_lease, names)
         responded_s = clock.boot_s()
-        for vm in statuses.vms_with_newer_tables(self._get_table_revisions()):
+        for vm in statuses.vms_with_newer_tables(self._get_table_orders()):
             await self._on_newer_tables(vm)
-        known = self._get_table_revisions()
+        known = self._get_table_orders()
         generation = revisions.epoch_generation(own_lease.epoch)
         return {
             vm.name: _to_response(status, responded_s, generation, known)
@@ -197,7 +197,7 @@
     status: peers.GatewayStatus,
     responded_s: float,
     generation: int,
-    known: Mapping[str, int],
+    known: table_order.Orders,
 ) -> recovery_wait.Response:
     """Returns what a gateway's status says of earlier holders.
 
@@ -206,7 +206,7 @@
         responded_s: When it was received, on the boot clock, in seconds.
         generation: Generation of the store in which this gateway has the
             lease.
-        known: Revision of each known table, by name.
+        known: Order of each known table, by name.
     """
     age_s = 0.0
     if status.generation == generation and status.generation_age_s is not None:
@@ -216,8 +216,5 @@
         responded_s,
         peers.decode_former_leases(status.former),
         responded_s - age_s,
-        all(
-            known.get(name, 0) >= revision
-            for name, revision in status.tables.items()
-        ),
+        table_order.knows_all(status, known),
     )
--- a/berylweir/gateway/ownership/task.py
+++ b/berylweir/gateway/ownership/task.py
@@ -26,6 +26,7 @@
 from berylweir.gateway.ownership import lease as leases
 from berylweir.gateway.ownership import models as ownership
 from berylweir.gateway.ownership import owner_contact
+from berylweir.gateway.ownership import table_order
 from berylweir.gateway.ownership import table_publisher
 from berylweir.gateway.ownership import table_recovery
 from berylweir.gateway.ownership import tables
@@ -73,7 +74,7 @@
         inbox: Inbox,
         dispatcher: dispatch.Inbox,
         update_local_tables: Callable[[list[store.StoredObject]], None],
-        get_table_revisions: Callable[[], dict[str, int]],
+        get_table_orders: Callable[[], table_order.Orders],
         refresh_tables: Callable[[], None],
         is_store_up: Callable[[], bool],
         metrics: counters.Counters,
@@ -90,8 +91,7 @@
             dispatcher: Mailbox of the dispatcher.
             update_local_tables: Passes written tables to the other tasks of
                 this gateway.
-            get_table_revisions: Returns the revision of each known table, by
-                name.
+            get_table_orders: Returns the order of each known table, by name.
             refresh_tables: Requests another read of the key tables.
             is_store_up: Returns whether the store answers this VM or a gateway
                 that it follows.
@@ -99,7 +99,7 @@
             bounds: Limits that the platform sets.
         """
         self._update_local_tables = update_local_tables
-        self._get_table_revisions = get_table_revisions
+        self._get_table_orders = get_table_orders
         self._refresh_tables = refresh_tables
         self._client = client
         self._lease_client = lease_client
@@ -135,7 +135,7 @@
             get_acted_epoch=lambda: table_recovery.acted_epoch(
                 self._tables, self._groups
             ),
-            get_table_revisions=get_table_revisions,
+            get_table_orders=get_table_orders,
             on_newer_tables=self._fetch_tables,
             on_lost=self._on_lease_lost,
             on_authority_confirmed=self._state_changed.set,
@@ -212,7 +212,7 @@
                 | peers.AcquirePermit()
             ):
                 pass
-        return self._lease.status(self._get_table_revisions())
+        return self._lease.status(self._get_table_orders())
 
     # Known state
 
@@ -254,7 +254,7 @@
     def _update_table(self, table: models.KeyTable) -> None:
         """Replaces the known table of a group if the given one is newer."""
         current = self._tables.get(table.group)
-        if current is None or table.revision > current.revision:
+        if current is None or table.order > current.order:
             self._tables[table.group] = table
             if self._stored_revisions.get(table.group, 0) < table.revision:
                 self._stored_revisions[table.group] = table.revision
@@ -271,10 +271,9 @@
 
     def _refresh_stale_tables(self, status: peers.GatewayStatus) -> None:
         """Requests a read of the tables if the holder has newer ones."""
-        for name, revision in status.tables.items():
-            current = self._tables.get(name)
-            if current is None or current.revision < revision:
-                self._refresh_tables()
+        known = {name: table.order for name, table in self._tables.items()}
+        if not table_order.knows_all(status, known):
+            self._refresh_tables()
 
     # The lease
 
@@ -489,6 +488,13 @@
                 objects.KEY_TABLES_KIND, name, spec, revision
             )
         match response:
+            case result.Ok(stored) if revisions.generation(
+                stored.revision
+            ) > revisions.epoch_generation(table.epoch):
+                # The store was restored meanwhile. Another gateway may have
+                # had the lease before that, and have granted other tables.
+                self._stored_revisions[name] = stored.revision
+                self._metrics.count("tables.restored")
             case result.Ok(stored):
                 return self._accept_stored_table(stored)
             case result.Err(exceptions.Missing()):
@@ -522,12 +528,13 @@
                 ordered = objects.order_by_writing(stored, decoded)
                 table = dataclasses.replace(decoded, revision=ordered.revision)
                 previous = self._tables.get(table.group)
-                if previous is not None and table.revision < previous.revision:
-                    # The store was restored from a copy with an older table.
-                    # The next write replaces it.
+                if previous is not None and table.order < previous.order:
+                    # The store was restored from a copy with an older table, or
+                    # an earlier holder wrote it there. The next write replaces
+                    # it.
                     self._metrics.count("tables.restored")
                     return False
-                if previous is not None and table.revision == previous.revision:
+                if previous is not None and table.order == previous.order:
                     return True
                 self._update_table(table)
                 self._update_local_tables([ordered])
--- a/berylweir/gateway/peers/messages.py
+++ b/berylweir/gateway/peers/messages.py
@@ -370,6 +370,8 @@
         generation: Highest generation of the store that it knows.
         generation_age_s: Time for which it has known that generation, in
             seconds; None if the store was never restored.
+        table_epochs: Epoch of each key table that it knows, by object name;
+            empty in earlier builds.
     """
 
     incarnation: str
@@ -381,6 +383,7 @@
     former: FormerLeases | None = None
     generation: int = 0
     generation_age_s: float | None = None
+    table_epochs: dict[str, int] = {}
 
 
 class ObjectsSnapshot(msgspec.Struct, frozen=True, tag="known"):
--- a/berylweir/gateway/store_cache.py
+++ b/berylweir/gateway/store_cache.py
@@ -183,10 +183,10 @@
         """
         for stored in stored_objects:
             cached = self._key_tables.get(stored.name)
-            if cached is not None and cached.revision >= stored.revision:
-                continue
             match objects.decode_table(stored):
                 case result.Ok(table):
+                    if cached is not None and table.order <= cached.order:
+                        continue
                     self._key_table_objects[stored.name] = stored
                     self._set_key_table(stored.name, table)
                 case result.Err(failure):
@@ -223,7 +223,8 @@
                             },
                         )
                         continue
-                    self._set_key_table(stored.name, table)
+                    if table.order > cached.order:
+                        self._set_key_table(stored.name, table)
                 case result.Err(failure):
                     self._report_undecodable(
                         objects.KEY_TABLES_KIND, stored, failure
@@ -234,9 +235,9 @@
         self._notify(messages.KeyTableChanged(table))
 
     @property
-    def key_table_revisions(self) -> dict[str, int]:
-        """Revisions of the known key tables by object name."""
-        return {name: t.revision for name, t in self._key_tables.items()}
+    def key_table_orders(self) -> dict[str, models.TableOrder]:
+        """Orders of the known key tables by object name."""
+        return {name: t.order for name, t in self._key_tables.items()}
 
     @property
     def key_table_objects(self) -> Mapping[str, store.StoredObject]:
--- a/berylweir/gateway/supervisor.py
+++ b/berylweir/gateway/supervisor.py
@@ -164,7 +164,7 @@
         keeper_inbox,
         dispatch_inbox,
         cache.update_key_tables,
-        lambda: cache.key_table_revisions,
+        lambda: cache.key_table_orders,
         reader.refresh,
         lambda: replication_coordinator.is_current,
         metrics,
--- a/tests/gateway/ownership/test_holder_check.py
+++ b/tests/gateway/ownership/test_holder_check.py
@@ -70,7 +70,8 @@
         )
 
         def names(known: dict[str, int]) -> list[str]:
-            return [v.name for v in statuses.vms_with_newer_tables(known)]
+            orders = {n: models.TableOrder(4, r) for n, r in known.items()}
+            return [v.name for v in statuses.vms_with_newer_tables(orders)]
 
         assert names({}) == ["vm-2", "vm-3"]
         assert names({"g": 7}) == ["vm-3"]
--- a/tests/gateway/ownership/test_table_publisher.py
+++ b/tests/gateway/ownership/test_table_publisher.py
@@ -10,6 +10,7 @@
 from berylweir.gateway import models
 from berylweir.gateway import store_cache
 from berylweir.gateway.ownership import models as ownership
+from berylweir.gateway.ownership import table_order
 from berylweir.gateway.ownership import table_publisher
 from berylweir.gateway.ownership import tables
 from berylweir.gateway.peers import exceptions
@@ -55,8 +56,16 @@
             case peers.PublishTableChanges(base_revision, changes):
                 decoded = codec.decode_objects(changes)
                 self.cache.apply_key_table_changes(decoded, base_revision)
-        known = self.cache.key_table_revisions
-        return result.Ok(peers.GatewayStatus("run", 1, False, tables=known))
+        orders = self.cache.key_table_orders
+        return result.Ok(
+            peers.GatewayStatus(
+                "run",
+                1,
+                False,
+                tables=table_order.revisions(orders),
+                table_epochs=table_order.epochs(orders),
+            )
+        )
 
     def has_table(self, table: models.KeyTable) -> bool:
         """Returns whether it has the table."""
@@ -129,7 +138,12 @@
         publisher.publish(
             table, table_with_new_tokens, stored_table(table_with_new_tokens)
         )
-        await rig.until(lambda: gateway.cache.key_table_revisions == {"g": 2})
+        await rig.until(
+            lambda: (
+                table_order.revisions(gateway.cache.key_table_orders)
+                == {"g": 2}
+            )
+        )
         (request,) = gateway.requests
         assert isinstance(request, peers.PublishTableChanges)
         (changed,) = codec.decode_objects(request.changes)
@@ -173,6 +187,6 @@
         )
         table_diff = stored_table(tables.diff(table, newer))
         cache.apply_key_table_changes([table_diff], 2)
-        assert cache.key_table_revisions == {"g": 3}
+        assert table_order.revisions(cache.key_table_orders) == {"g": 3}
         cache.apply_key_table_changes([table_diff], 3)
-        assert cache.key_table_revisions == {"g": 9}
+        assert table_order.revisions(cache.key_table_orders) == {"g": 9}
--- a/tests/gateway/ownership/test_table_recovery.py
+++ b/tests/gateway/ownership/test_table_recovery.py
@@ -164,12 +164,12 @@
         Returns:
             The VMs whose tables were read.
         """
-        known = {"g1": 5}
+        known = {"g1": models.TableOrder(4, 5)}
         read = []
 
         async def read_tables(vm: models.Vm) -> None:
             read.append(vm.name)
-            known["g1"] = 6
+            known["g1"] = models.TableOrder(4, 6)
 
         check = holder_check.HolderCheck(vm("vm-1"), gateways)
         check.update_vms({f"vm-{n}": vm(f"vm-{n}") for n in range(3)})
@@ -179,7 +179,7 @@
             lease_history.LeaseHistory(),
             is_due=lambda epoch: True,
             get_acted_epoch=lambda: 4,
-            get_table_revisions=lambda: known,
+            get_table_orders=lambda: known,
             on_newer_tables=read_tables,
         )
         restored_lease = models.Lease("vm-0", "run-vm-0", 3, 1)
