Keep a planned stop going when SIGTERM is repeated

Cause: any second signal cancelled the supervisor tree, which is meant for a user at a terminal.

Change: only a second SIGINT cancels it.

--- a/berylweir/process.py
+++ b/berylweir/process.py
@@ -24,7 +24,8 @@
 ) -> None:
     """Runs a supervisor tree until SIGTERM or SIGINT.
 
-    A second signal cancels the tree without waiting for its shutdown.
+    Further SIGTERMs don't shorten the shutdown. A second SIGINT, as Ctrl-C
+    sends it in a terminal, cancels the tree without waiting for the shutdown.
 
     Args:
         root: Root of the tree.
@@ -43,14 +44,21 @@
     loop = asyncio.get_running_loop()
     main_task = asyncio.current_task()
 
-    def on_stop_signal() -> None:
-        if stop_event.is_set() and main_task is not None:
-            main_task.cancel()
+    has_interrupt = False
+
+    def on_terminate() -> None:
         _LOGGER.info("stopping")
         stop_event.set()
 
-    for signal_number in (signal.SIGTERM, signal.SIGINT):
-        loop.add_signal_handler(signal_number, on_stop_signal)
+    def on_interrupt() -> None:
+        nonlocal has_interrupt
+        if has_interrupt and main_task is not None:
+            main_task.cancel()
+        has_interrupt = True
+        on_terminate()
+
+    loop.add_signal_handler(signal.SIGTERM, on_terminate)
+    loop.add_signal_handler(signal.SIGINT, on_interrupt)
     if on_reload is not None:
 
         def on_reload_signal() -> None:
--- a/tests/gateway/test_stop.py
+++ b/tests/gateway/test_stop.py
@@ -192,6 +192,61 @@
             await stop_task
 
 
+class TestRepeatedSignals:
+    """Signals that follow each other at a real process."""
+
+    @pytest.mark.parametrize(
+        "signals",
+        [
+            (signal.SIGTERM, signal.SIGTERM, signal.SIGTERM),
+            (signal.SIGTERM, signal.SIGINT),
+            (signal.SIGINT, signal.SIGTERM),
+            (signal.SIGHUP, signal.SIGTERM, signal.SIGHUP, signal.SIGTERM),
+        ],
+    )
+    async def test_running_request_is_answered(self, tmp_path, signals):
+        """Guards against a second signal that cuts off all requests."""
+        async with (
+            start_deployment(service_s=2.0, kind="unsafe", timeout_ms=5000) as (
+                deployment,
+                _,
+            ),
+            start_program(deployment, tmp_path) as (port, process),
+        ):
+            reader, writer = await asyncio.open_connection("127.0.0.1", port)
+            caller = rig.Caller(reader, writer)
+            caller.send("/r/1", "a1", method="POST", deadline_ms=5000)
+            await rig.until(lambda: run_ids(deployment) == ["a1"])
+            for number in signals:
+                process.send_signal(number)
+                await asyncio.sleep(0.3)
+            reply = await caller.read()
+            assert (reply.status, reply.is_whole) == (200, True)
+            writer.close()
+            assert await process.wait() == 0
+
+    async def test_second_interrupt_ends_at_once(self, tmp_path):
+        """Guards against a program that a user can't stop from a terminal."""
+        async with (
+            start_deployment(
+                service_s=20.0, kind="unsafe", timeout_ms=_LONG_TIMEOUT_MS
+            ) as (deployment, _),
+            start_program(deployment, tmp_path) as (port, process),
+        ):
+            reader, writer = await asyncio.open_connection("127.0.0.1", port)
+            caller = rig.Caller(reader, writer)
+            caller.send(
+                "/r/1", "a1", method="POST", deadline_ms=_LONG_TIMEOUT_MS
+            )
+            await rig.until(lambda: run_ids(deployment) == ["a1"])
+            process.send_signal(signal.SIGINT)
+            await asyncio.sleep(0.3)
+            assert process.returncode is None
+            process.send_signal(signal.SIGINT)
+            assert await caller.read() is None
+            await process.wait()
+
+
 @contextlib.asynccontextmanager
 async def start_program(deployment: rig.Rig, directory):
     """Starts the gateway program; yields its port for callers and itself."""
