Give commands to servers ids, and releases connections of their own

Cause: commands had no ids. The copy of an answer to a grant was taken for the answer to a release on the same connection.

Change: each command has an id, and answers with another one are skipped. A server that doesn't repeat ids gets each release on a new connection.

--- a/berylweir/gateway/ownership/grant_client.py
+++ b/berylweir/gateway/ownership/grant_client.py
@@ -2,8 +2,10 @@
 
 import asyncio
 import dataclasses
+import uuid
 
 from berylweir.platform import grants
+from berylweir.platform import requests
 from berylweir.router.backends import connection as http
 from berylweir.router.backends import exceptions as http_exceptions
 
@@ -37,7 +39,14 @@
 
 
 class GrantClient:
-    """Sends commands to one server over connections that it keeps open."""
+    """Sends commands to one server over connections that it keeps open.
+
+    A server may send an answer once more on the same connection, and it must
+    not be taken for the answer to the next command. Each command has an id of
+    its own, which the answer repeats. A server that doesn't repeat ids gets
+    each release on a new connection, since keys have two owners if the wrong
+    answer ends the wait for it.
+    """
 
     def __init__(self, server: str, host: str, port: int) -> None:
         """Creates the client without opening a connection.
@@ -51,6 +60,9 @@
         self._host = host
         self._port = port
         self._idle_connections: list[http.Connection] = []
+        self._id_prefix = uuid.uuid4().hex
+        self._command_count = 0
+        self._repeats_ids = False
 
     @property
     def address(self) -> tuple[str, int]:
@@ -64,7 +76,11 @@
             if isinstance(command, grants.Release)
             else _GRANT_TIMEOUT_S
         )
-        connection = self._take_idle_connection()
+        self._command_count += 1
+        request_id = f"{self._id_prefix}-{self._command_count}"
+        connection = None
+        if self._repeats_ids or isinstance(command, grants.Grant):
+            connection = self._take_idle_connection()
         if connection is None:
             try:
                 connection = await http.connect(
@@ -82,13 +98,25 @@
                 try:
                     connection.begin(
                         grants.encode_request(
-                            command, self._server, self._host, self._port
+                            command,
+                            self._server,
+                            self._host,
+                            self._port,
+                            request_id,
                         ),
                         is_head_request=False,
+                        matches_request=lambda headers: (
+                            requests.matches_request_id(request_id, headers)
+                        ),
                     )
                 except http_exceptions.ExchangeError:
                     return NotSent()
                 head = await connection.read_head()
+                if requests.states_request_id(head.headers):
+                    self._repeats_ids = True
+                elif self._repeats_ids and connection.is_reused:
+                    # It may be the answer to an earlier command.
+                    return NoResponse()
                 await connection.read_whole(_MAX_BODY_BYTES)
             has_response = True
             return grants.decode_response(head.status, head.headers)
--- a/berylweir/platform/grants.py
+++ b/berylweir/platform/grants.py
@@ -86,7 +86,7 @@
 
 
 def encode_request(
-    command: Command, server: str, host: str, port: int
+    command: Command, server: str, host: str, port: int, request_id: str
 ) -> bytes:
     """Returns a command encoded as an HTTP/1.1 request.
 
@@ -95,6 +95,7 @@
         server: Id of the only server that may carry it out.
         host: IP address of the server.
         port: TCP port of the server.
+        request_id: Unique id, which identifies the answer.
     """
     match command:
         case Grant(first, last, token, duration_ms, handover):
@@ -107,6 +108,7 @@
     head = (
         f"POST {path} HTTP/1.1\r\nhost: {host}:{port}\r\n"
         f"expect-instance: {server}\r\n"
+        f"request-id: {request_id}\r\n"
         f"content-type: application/json\r\n"
         f"content-length: {len(encoded_body)}\r\n\r\n"
     )
--- a/tests/platform/test_messages.py
+++ b/tests/platform/test_messages.py
@@ -334,10 +334,11 @@
     def test_grant_request_names_its_server(self):
         """Guards against a grant accepted by another server on that address."""
         request = grants.encode_request(
-            grants.Grant(1, 9, 4, 2500, "h"), "s1", "h", 80
+            grants.Grant(1, 9, 4, 2500, "h"), "s1", "h", 80, "c-1"
         )
         head, _, body = request.partition(b"\r\n\r\n")
         assert b"expect-instance: s1" in head
+        assert b"request-id: c-1" in head
         assert msgspec.json.decode(body) == {
             "from": 1,
             "to": 9,
