Skip single objects of the store that can't be decoded

Cause: the decoder checks raw items too, so the item made its whole page or list of events fail. Only items nested too deeply were skipped.

Change: if a document can't be decoded, its items are decoded one by one, and those that can't be are skipped and counted.

--- a/berylweir/platform/nesting.py
+++ b/berylweir/platform/nesting.py
@@ -1,7 +1,8 @@
-"""Protects the decoding of JSON from values that are nested too deeply.
+"""Protects the decoding of JSON from single values that can't be decoded.
 
-The decoder is recursive, and raises `RecursionError` for all of a document if
-one value in it exceeds the interpreter's limit.
+The decoder raises an error for all of a document if one value in it is nested
+more deeply than the interpreter's limit, or isn't valid, such as a string with
+half of a surrogate pair.
 """
 
 import re
@@ -15,8 +16,10 @@
 _TOKENS = re.compile(rb'"(?:[^"\\]|\\.)*"|[\[\]{}]', re.DOTALL)
 
 
-def drop_deep_items(document: bytes, depth: int) -> bytes:
-    """Replaces items that are nested too deeply by `null`.
+def drop_undecodable_items(document: bytes, depth: int) -> bytes:
+    """Replaces items that can't be decoded by `null`.
+
+    Items that are neither objects nor arrays are left as they are.
 
     Args:
         document: JSON document.
@@ -37,10 +40,22 @@
                 deepest = max(deepest, current_depth)
             case b"]" | b"}":
                 current_depth -= 1
-                if current_depth == depth and deepest - depth > _MAX_DEPTH:
+                if current_depth == depth and not _is_decodable(
+                    document[item_start : token.end()], deepest - depth
+                ):
                     parts += (document[copied_to:item_start], b"null")
                     copied_to = token.end()
             case _:
                 pass  # A string may contain brackets.
     parts.append(document[copied_to:])
     return b"".join(parts)
+
+
+def _is_decodable(item: bytes, depth: int) -> bool:
+    if depth > _MAX_DEPTH:
+        return False
+    try:
+        msgspec.json.decode(item)
+    except DECODE_ERRORS:
+        return False
+    return True
--- a/berylweir/platform/store.py
+++ b/berylweir/platform/store.py
@@ -214,15 +214,21 @@
                 page = _decode_items(_PAGE_DECODER, response.body)
             except msgspec.MsgspecError as error:
                 return result.Err(exceptions.Undecodable(kind, str(error)))
+            known_count = len(objects)
             for raw in page.items:
                 stored_object = _decode_object(raw, response.generation)
                 if stored_object is None:
                     undecodable += 1
                 else:
                     objects.append(stored_object)
-            if not page.more or not objects:
+            if not page.more or not page.items:
                 revision = revisions.compose(response.generation, page.as_of)
                 return result.Ok(Listing(objects, revision, undecodable))
+            if len(objects) == known_count:
+                # The next page is asked for by the name of the last object.
+                return result.Err(
+                    exceptions.Undecodable(kind, "a page without objects")
+                )
             after = urllib.parse.quote(objects[-1].name, safe="")
             query = f"?after={after}"
 
@@ -461,11 +467,11 @@
 
 
 def _decode_items(decoder: msgspec.json.Decoder[_T], body: bytes) -> _T:
-    """Decodes a response with items, without those nested too deeply."""
+    """Decodes a response with items, without those that can't be decoded."""
     try:
         return decoder.decode(body)
-    except RecursionError:
-        return decoder.decode(nesting.drop_deep_items(body, _ITEM_DEPTH))
+    except nesting.DECODE_ERRORS:
+        return decoder.decode(nesting.drop_undecodable_items(body, _ITEM_DEPTH))
 
 
 def _decode_change(raw: msgspec.Raw, generation: int) -> ObjectChange | None:
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -41,6 +41,33 @@
         assert [o.name for o in listing.objects] == [f"n{n}" for n in range(10)]
         assert listing.revision == fake_store.revision
 
+    @pytest.mark.parametrize(
+        "spec",
+        [
+            b'"\\udcff"',
+            b'{"\\ud800": 1}',
+            b'["\\udc00\\ud800"]',
+            b'{"info": {"zone": "\\ud83d"}}',
+            b"1e999",
+            b'"\xff\xfe"',
+            b'"\xe2\x82"',
+        ],
+    )
+    async def test_unreadable_object_is_left_out(self, store_and_client, spec):
+        """Guards against one writer that hides the objects of all others."""
+        fake_store, client = store_and_client
+        before = (await client.list_all("k")).unwrap().revision
+        await fake_store.put("k", "a", {"n": 1})
+        await fake_store.put("k", "b", msgspec.Raw(spec))
+        await fake_store.put("k", "c", {"n": 2})
+        listing = (await client.list_all("k")).unwrap()
+        names = [o.name for o in listing.objects]
+        assert names in (["a", "c"], ["a", "b", "c"])
+        assert listing.undecodable == 3 - len(names)
+        watched = (await client.watch("k", before)).unwrap()
+        assert [c.object.name for c in watched.changes] == names
+        assert watched.revision == listing.revision
+
     async def test_deeply_nested_object_is_left_out(self, store_and_client):
         """Guards against an odd entry that hides all others of its kind."""
         fake_store, client = store_and_client
