--- a/bench/body_memory.py
+++ b/bench/body_memory.py
@@ -8,6 +8,7 @@
 """
 
 import asyncio
+from collections.abc import AsyncIterator
 import contextlib
 import dataclasses
 import enum
@@ -351,8 +352,10 @@
 
 
 @contextlib.asynccontextmanager
-async def _connect(port: int):  # type: ignore[no-untyped-def] # noqa: ANN202
-    """Opens a connection with a small window."""
+async def _connect(
+    port: int,
+) -> AsyncIterator[tuple[asyncio.StreamReader, asyncio.StreamWriter]]:
+    """Opens a connection, and resets it at the end."""
     reader, writer = await asyncio.open_connection(
         "127.0.0.1", port, limit=8192
     )
--- a/berylweir/gateway/exchange/attempt.py
+++ b/berylweir/gateway/exchange/attempt.py
@@ -51,10 +51,10 @@
             placement: The server that was chosen, and a connection to it.
             memory: Memory for the response.
         """
-        self._memory = memory
         self._inbox = inbox
         self._requirements = requirements
         self._placement = placement
+        self._memory = memory
         self._connection = placement.connection
         self._is_finished = False
         self._result = messages.AttemptResult.ABANDONED
--- a/berylweir/gateway/forwarding/client.py
+++ b/berylweir/gateway/forwarding/client.py
@@ -54,9 +54,9 @@
                 seconds.
             memory: Memory for the answer.
         """
-        self._memory = memory
         self._inbox = inbox
         self._forward = forward
+        self._memory = memory
         self._connection = forward.connection
         self._deadline_s = deadline_s
         self._is_reported = False
--- a/berylweir/gateway/ingress/protocol.py
+++ b/berylweir/gateway/ingress/protocol.py
@@ -362,8 +362,8 @@
                 return False
             case ingress.Close():
                 return False
-            case _ as entry:
-                typing.assert_never(entry)
+            case _ as unknown:
+                typing.assert_never(unknown)
 
     async def _answer_request(self, entry: ingress.PendingRequest) -> bool:
         """Answers a request; returns whether the next may follow."""
