Ignore ids and loads of servers that can't be used

Cause: an id that isn't Latin-1 raised an error when a request was sent, which closed the caller's connection, and one with a line break would have added headers. Load figures near the largest float overflowed when they were added up, which ended the dispatcher.

Change: entries whose id is no header value are skipped like other unreadable ones, and load reports with numbers above 10^9 are ignored.

Evidence: the nine cases of the two tests in tests/platform/test_messages.py failed before and pass.

--- a/berylweir/platform/objects.py
+++ b/berylweir/platform/objects.py
@@ -6,6 +6,7 @@
 
 from collections.abc import Iterable
 import ipaddress
+import re
 from typing import Annotated
 
 import msgspec
@@ -108,6 +109,8 @@
     status: _ServerStatus | None = None
 
 
+# Ids of servers are sent in headers.
+_HEADER_VALUE = re.compile(r"[\x21-\x7e\xa1-\xff]+")
 _CONFIGURATION_DECODER = msgspec.json.Decoder(_Configuration)
 _SERVER_ENTRY_DECODER = msgspec.json.Decoder(_ServerEntry)
 _SERVER_STATUS_DECODER = msgspec.json.Decoder(_ServerStatus | None)
@@ -191,6 +194,8 @@
                 " 'draining'"
             )
         host, port = _decode_address(raw.addr)
+        if not _HEADER_VALUE.fullmatch(stored.name):
+            raise ValueError("the server's id can't be sent in a header")
         return result.Ok(
             models.BackendServer(
                 name=stored.name,
--- a/berylweir/platform/requests.py
+++ b/berylweir/platform/requests.py
@@ -43,6 +43,8 @@
         FORWARDED_LEAVING,
     }
 )
+# Largest number in a report of a server's load.
+_MAX_LOAD = 1e9
 # Longest pause that is taken from a server, in seconds.
 _MAX_PAUSE_S = 60.0
 # Hop-by-hop headers, and headers that the gateway sets itself.
@@ -305,6 +307,8 @@
     fields = [_parse_number(f) for f in value.split(b",")]
     if len(fields) < 3 or None in fields[:4]:
         return None
+    if any(abs(f or 0.0) > _MAX_LOAD for f in fields[:4]):
+        return None
     running, waiting, slots = (int(f or 0) for f in fields[:3])
     percent = fields[3] if len(fields) > 3 else None
     return models.Load(running, waiting, slots, (percent or 100.0) / 100.0)
--- a/tests/platform/test_messages.py
+++ b/tests/platform/test_messages.py
@@ -5,6 +5,7 @@
 import hypothesis
 from hypothesis import strategies as st
 import msgspec
+import pytest
 import result
 
 from berylweir.gateway import models
@@ -155,6 +156,14 @@
         for value in (b"nan", b"inf", b"-1", b"soon", b"", b"1,5"):
             assert isinstance(self.decode(value), models.RateLimitInvalid)
 
+    @pytest.mark.parametrize(
+        "value", [b"1e308,1e308,3", b"1,0,1e300", b"0,0,3,1e99", b"-1e308,0,3"]
+    )
+    def test_enormous_server_load_is_ignored(self, value):
+        """Guards against numbers that end the dispatcher when added up."""
+        head = requests.decode_response(200, [(b"server-load", value)])
+        assert head.statements.load is None
+
     def test_only_a_response_of_the_server_itself_lifts_a_limit(self):
         """Guards against a limit lifted by a faulty or another server."""
         assert self.decode(None) == models.NotRateLimited()
@@ -255,6 +264,20 @@
         )
         assert decoded.revision == 7
 
+    @pytest.mark.parametrize(
+        "name", ["s-\u0142", "s\r\nx: y", "", "s 1", "s\x00"]
+    )
+    def test_server_whose_id_is_no_header_value_is_undecodable(self, name):
+        """Guards against an id that ends requests, or adds headers to them."""
+        spec = server_standin.server_spec("s1", "g", 80)
+        stored = store.build_stored_object(
+            name,
+            1,
+            msgspec.Raw(msgspec.json.encode(spec)),
+            msgspec.Raw(b"null"),
+        )
+        assert isinstance(objects.decode_server(stored), result.Err)
+
     def test_malformed_backend_server_is_undecodable(self):
         """Guards against a server built from a malformed object."""
         valid = server_standin.server_spec("n", "books", 8080)
