--- a/tests/gateway/test_long_bodies.py
+++ b/tests/gateway/test_long_bodies.py
@@ -98,6 +98,29 @@
         yield gateway
 
 
+def send_head(
+    caller: rig.Caller,
+    framing: str,
+    request_id: str = "a1",
+    deadline_ms: int = 2000,
+) -> None:
+    """Sends the head of a request whose body the test sends.
+
+    Args:
+        caller: The caller.
+        framing: Header that says where the body ends.
+        request_id: Id of the request.
+        deadline_ms: Time that the caller waits, in ms.
+    """
+    caller.send(
+        "/r/1",
+        request_id,
+        method="POST",
+        deadline_ms=deadline_ms,
+        headers=framing,
+    )
+
+
 def peak_memory_bytes(pid: int) -> int:
     """Returns the peak resident memory of a process."""
     text = pathlib.Path(f"/proc/{pid}/status").read_text(encoding="utf-8")
@@ -153,12 +176,11 @@
     caller = rig.Caller(reader, writer)
     answer = asyncio.create_task(caller.read())
     try:
-        caller.send(
-            "/r/1",
-            request_id,
-            method="POST",
+        send_head(
+            caller,
+            f"Content-Length: {size_bytes}\r\n",
+            request_id=request_id,
             deadline_ms=_DEADLINE_MS,
-            headers=f"Content-Length: {size_bytes}\r\n",
         )
         part = bytes(65_536)
         for _ in range(size_bytes // len(part)):
@@ -270,12 +292,7 @@
         """Guards against a caller that waits for what can't be served."""
         async with start_small("unsafe") as (deployment, gateway):
             caller = await gateway.connect()
-            caller.send(
-                "/r/1",
-                "a1",
-                method="POST",
-                headers="Content-Length: 1000000\r\n",
-            )
+            send_head(caller, "Content-Length: 1000000\r\n")
             reply = await caller.read()
             assert (reply.status, reply.is_whole) == (503, True)
             assert reply.headers["request-id"] == "a1"
@@ -293,12 +310,7 @@
         """Guards against a body without a stated length, or without end."""
         async with start_small("unsafe") as (deployment, gateway):
             caller = await gateway.connect()
-            caller.send(
-                "/r/1",
-                "a1",
-                method="POST",
-                headers="Transfer-Encoding: chunked\r\n",
-            )
+            send_head(caller, "Transfer-Encoding: chunked\r\n")
             answer = asyncio.create_task(caller.read())
             while not answer.done():
                 caller.writer.write(b"10000\r\n" + bytes(65_536) + b"\r\n")
@@ -323,12 +335,7 @@
         """Guards against memory of bodies that never arrive."""
         async with start_small("unsafe") as (_, gateway):
             caller = await gateway.connect()
-            caller.send(
-                "/r/1",
-                "a1",
-                method="POST",
-                headers="Content-Length: 500000\r\n",
-            )
+            send_head(caller, "Content-Length: 500000\r\n")
             await rig.until(lambda: held_bytes(gateway) == 500_000)
             caller.writer.transport.abort()
             await rig.until(lambda: held_bytes(gateway) == 0)
@@ -337,13 +344,7 @@
         """Guards against a body that arrives slowly and keeps its memory."""
         async with start_small("unsafe") as (deployment, gateway):
             caller = await gateway.connect()
-            caller.send(
-                "/r/1",
-                "a1",
-                method="POST",
-                deadline_ms=500,
-                headers="Content-Length: 500000\r\n",
-            )
+            send_head(caller, "Content-Length: 500000\r\n", deadline_ms=500)
             answer = asyncio.create_task(caller.read())
             while not answer.done():
                 caller.writer.write(b"x")
