Move the writing of answers out of the protocol of connections

Change: AnswerWriter has the transport's output; nothing else is changed.

Result: tests of ingress, long bodies and planned stops pass.

--- a/berylweir/gateway/ingress/protocol.py
+++ b/berylweir/gateway/ingress/protocol.py
@@ -7,7 +7,6 @@
 from collections.abc import Iterable
 from collections.abc import Sequence
 import contextlib
-import http
 import logging
 import typing
 
@@ -21,6 +20,7 @@
 from berylweir.gateway.exchange import models as exchange
 from berylweir.gateway.forwarding import codec
 from berylweir.gateway.ingress import models as ingress
+from berylweir.gateway.ingress import writer
 from berylweir.observability import counters
 from berylweir.platform import requests
 from berylweir.transports import lingering
@@ -28,21 +28,11 @@
 _LOGGER = logging.getLogger(__name__)
 # Reading from a connection pauses while this many requests are queued.
 _MAX_PIPELINED = 32
-# Write buffer from which on further parts of a body wait, in bytes.
-_WRITE_BUFFER_BYTES = 16_384
 # Digits of the longest `content-length` that is read.
 _MAX_LENGTH_DIGITS = 18
-# Largest body that is copied behind its head, in bytes.
-_MAX_JOINED_BODY_BYTES = 16_384
 # Retry-After if there is no memory for the body of a request, in seconds. Other
 # requests end meanwhile.
 _NO_MEMORY_RETRY_AFTER_S = 1.0
-_CONTINUE_RESPONSE = b"HTTP/1.1 100 Continue\r\n\r\n"
-_STATUS_LINES = {
-    s.value: b"HTTP/1.1 %d %b\r\n" % (s.value, s.phrase.encode())
-    for s in http.HTTPStatus
-}
-_STATUSES_WITHOUT_BODY = frozenset({204, 304})
 
 HandleRequest = Callable[[exchange.CallerRequest], Awaitable[exchange.Answer]]
 DecodeHead = Callable[[str, bytes, Sequence[requests.Header]], codec.Decoded]
@@ -88,11 +78,10 @@
         self._loop = asyncio.get_running_loop()
         self._parser = httptools.HttpRequestParser(self)
         self._transport: asyncio.Transport | None = None
+        self._writer: writer.AnswerWriter | None = None
         self._task: asyncio.Task[None] | None = None
         self._queue: collections.deque[ingress.Entry] = collections.deque()
         self._queue_filled = asyncio.Event()
-        self._writable = asyncio.Event()
-        self._writable.set()
         self._url = b""
         self._headers: list[tuple[bytes, bytes]] = []
         self._incoming: ingress.IncomingRequest | None = None
@@ -113,7 +102,7 @@
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Stores the transport and starts the task that writes answers."""
         self._transport = typing.cast(asyncio.Transport, transport)
-        self._transport.set_write_buffer_limits(_WRITE_BUFFER_BYTES)
+        self._writer = writer.AnswerWriter(self._transport)
         self._connections.add(self)
         self._task = self._loop.create_task(self._answer_requests())
 
@@ -145,7 +134,7 @@
         """Cancels all requests, so that backend servers stop running them."""
         self._connections.discard(self)
         self._is_input_closed = True
-        self._writable.set()
+        self._resume_writing()
         if self._task is not None:
             self._task.cancel()
         self._drop_incoming()
@@ -153,11 +142,16 @@
 
     def pause_writing(self) -> None:
         """Stops writing while the caller reads more slowly than we write."""
-        self._writable.clear()
+        if self._writer is not None:
+            self._writer.pause()
 
     def resume_writing(self) -> None:
         """Continues writing."""
-        self._writable.set()
+        self._resume_writing()
+
+    def _resume_writing(self) -> None:
+        if self._writer is not None:
+            self._writer.resume()
 
     # Called by the parser
 
@@ -219,8 +213,8 @@
             n == b"expect" and v.lower() == b"100-continue"
             for n, v in self._headers
         )
-        if expects_continue and not self._queue and self._transport is not None:
-            self._transport.write(_CONTINUE_RESPONSE)
+        if expects_continue and not self._queue and self._writer is not None:
+            self._writer.write_continue()
 
     def on_body(self, body: bytes) -> None:
         """Stores a part of the body and checks its size."""
@@ -378,9 +372,12 @@
             # Requests that arrive from now on count as not received.
             self._is_input_closed = True
         with contextlib.closing(answer):
-            await self._write_answer(
-                entry, answer, closes_connection=closes_connection
-            )
+            if self._writer is not None:
+                await self._writer.write(
+                    answer,
+                    is_head_request=entry.request.head.method == "HEAD",
+                    closes_connection=closes_connection,
+                )
         self._queue.popleft()
         entry.stack.close()
         if closes_connection:
@@ -408,66 +405,14 @@
             )
         )
 
-    async def _write_answer(
-        self,
-        pending: ingress.PendingRequest,
-        answer: exchange.Answer,
-        *,
-        closes_connection: bool,
-    ) -> None:
-        transport = self._transport
-        if transport is None:
-            return
-        status = answer.status
-        lines = [_STATUS_LINES.get(status) or b"HTTP/1.1 %d \r\n" % status]
-        for name, value in answer.headers:
-            if name != b"content-length":
-                lines += (name, b": ", value, b"\r\n")
-        has_body = (
-            pending.request.head.method != "HEAD"
-            and status not in _STATUSES_WITHOUT_BODY
-        )
-        is_chunked = (
-            answer.remaining_body is not None and answer.content_length is None
-        )
-        if is_chunked:
-            lines.append(b"transfer-encoding: chunked\r\n")
-        elif status not in _STATUSES_WITHOUT_BODY:
-            lines.append(
-                b"content-length: %d\r\n" % (answer.content_length or 0)
-            )
-        if closes_connection:
-            lines.append(b"connection: close\r\n")
-        lines.append(b"\r\n")
-        if has_body and len(answer.body) <= _MAX_JOINED_BODY_BYTES:
-            lines.append(answer.body)
-            transport.write(b"".join(lines))
-        else:
-            transport.write(b"".join(lines))
-            if has_body:
-                transport.write(answer.body)
-        await self._writable.wait()
-        if answer.remaining_body is None:
-            return
-        async with contextlib.aclosing(answer.remaining_body) as parts:
-            async for part in parts:
-                transport.write(_encode_body_part(part, is_chunked))
-                del part
-                await self._writable.wait()
-        if is_chunked:
-            transport.write(b"0\r\n\r\n")
-
     def _write_violation(self, violation: ingress.Violation) -> None:
         self._metrics.count(f"gateway.violation.{violation.status}")
         _LOGGER.warning(
             "invalid request",
             extra={"status": violation.status, "reason": violation.reason},
         )
-        if self._transport is not None:
-            self._transport.write(
-                _STATUS_LINES[violation.status]
-                + b"content-length: 0\r\nconnection: close\r\n\r\n"
-            )
+        if self._writer is not None:
+            self._writer.write_last(violation.status)
 
     def _write_no_memory(self, failure: ingress.NoMemory) -> None:
         """Answers 503: no server has run the request or will run it later."""
@@ -480,15 +425,13 @@
                 "held_bytes": self._memory.held_bytes,
             },
         )
-        if self._transport is None:
-            return
-        lines = [_STATUS_LINES[503]]
-        for name, value in requests.encode_error_headers(
-            failure.request_id, _NO_MEMORY_RETRY_AFTER_S
-        ):
-            lines += (name, b": ", value, b"\r\n")
-        lines.append(b"content-length: 0\r\nconnection: close\r\n\r\n")
-        self._transport.write(b"".join(lines))
+        if self._writer is not None:
+            self._writer.write_last(
+                503,
+                requests.encode_error_headers(
+                    failure.request_id, _NO_MEMORY_RETRY_AFTER_S
+                ),
+            )
 
     async def _linger(self) -> None:
         """Closes the connection once the caller has received all data."""
@@ -530,9 +473,3 @@
         if name == b"content-length" and value.isdigit():
             return int(value[:_MAX_LENGTH_DIGITS])
     return 0
-
-
-def _encode_body_part(part: bytes, is_chunked: bool) -> bytes:
-    if is_chunked:
-        return b"%x\r\n%b\r\n" % (len(part), part)
-    return part
