Log and count requests whose connection ends before their answer

Change: a line 'unanswered' and a counter for each such request: how far it had come, who closed the connection and why, what was in front of it. Requests that are read after the close are parsed for their heads and recorded too. A line 'abandoned' names the server that had the request.

--- a/berylweir/gateway/exchange/answers.py
+++ b/berylweir/gateway/exchange/answers.py
@@ -202,6 +202,30 @@
             },
         )
 
+    def record_abandoned(
+        self,
+        request: exchange.CallerRequest,
+        route: models.Route,
+        state: exchange.RequestState,
+    ) -> None:
+        """Writes the log line of a request that was cancelled.
+
+        Its connection has ended, so that nobody waits for an answer.
+        """
+        self._metrics.count("gateway.abandoned")
+        _LOGGER.info(
+            "abandoned",
+            extra={
+                "request": request.head.request_id,
+                "route": route.name,
+                "sent_to": state.sent_to,
+                "sends": state.sent_attempts,
+                "elapsed_ms": request.elapsed_ms(
+                    asyncio.get_running_loop().time()
+                ),
+            },
+        )
+
     def _build(
         self,
         request: exchange.CallerRequest,
--- a/berylweir/gateway/exchange/handler.py
+++ b/berylweir/gateway/exchange/handler.py
@@ -99,6 +99,21 @@
         if route is None:
             return self._answers.answer_no_route(request)
         group, state, timeout_ms = self._prepare(request, route)
+        try:
+            return await self._serve(request, route, group, state, timeout_ms)
+        except asyncio.CancelledError:
+            self._answers.record_abandoned(request, route, state)
+            raise
+
+    async def _serve(
+        self,
+        request: exchange.CallerRequest,
+        route: models.Route,
+        group: str,
+        state: exchange.RequestState,
+        timeout_ms: float,
+    ) -> exchange.Answer:
+        """Sends a request to servers until there is an answer."""
         deadline_s = request.head_received_s + timeout_ms / 1000.0
         loop = asyncio.get_running_loop()
         limited = _limit_sending(request, route, deadline_s)
@@ -205,7 +220,9 @@
         sending = attempt.Attempt(
             self._inbox, requirements, placement, self._memory
         )
+        state.sent_to = placement.server.name
         outcome = await sending.run(request)
+        state.sent_to = None
         state.tried_instances |= {placement.server.instance}
         match outcome:
             case outcomes.NotSent():
@@ -270,9 +287,11 @@
             state.may_have_run,
             remaining_s * 1000.0,
         )
+        state.sent_to = forward.vm.name
         outcome = await forwarding.ForwardAttempt(
             self._inbox, forward, requirements.deadline_s, self._memory
         ).run(request, origin)
+        state.sent_to = None
         state.tried_vms |= {forward.vm.name}
         if forwarded.may_have_run(outcome):
             state.sent_attempts += 1
--- a/berylweir/gateway/exchange/models.py
+++ b/berylweir/gateway/exchange/models.py
@@ -140,6 +140,7 @@
         tried_instances: Server instances that were tried.
         rejecting_instance: The last one that said that it doesn't own the key.
         tried_vms: Names of the VMs to which it was forwarded.
+        sent_to: Server or VM that has the request now; None while it waits.
     """
 
     sent_attempts: int = 0
@@ -148,6 +149,7 @@
     tried_instances: frozenset[models.ServerInstance] = frozenset()
     rejecting_instance: models.ServerInstance | None = None
     tried_vms: frozenset[str] = frozenset()
+    sent_to: str | None = None
 
     def may_go_to_third_gateway(self, origin: Origin) -> bool:
         """Returns whether another gateway may forward the request again.
--- a/berylweir/gateway/ingress/models.py
+++ b/berylweir/gateway/ingress/models.py
@@ -3,6 +3,7 @@
 import asyncio
 import contextlib
 import dataclasses
+import enum
 import math
 
 from berylweir.gateway.body_memory import budget
@@ -10,6 +11,34 @@
 from berylweir.platform import requests
 
 
+class CloseReason(enum.Enum):
+    """Why a gateway closes the connection of a caller."""
+
+    # No request came within the idle timeout.
+    IDLE = "idle"
+    # The gateway stops.
+    STOPPING = "stopping"
+    # The last answer announced it.
+    ANNOUNCED = "announced"
+    # A request was invalid, or its body didn't fit into the memory.
+    REJECTED = "rejected"
+    # The response of a server broke off.
+    BROKEN = "broken"
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Closed:
+    """The gateway answers no further request of a connection.
+
+    Attributes:
+        reason: Why.
+        since_s: Since when, on the loop's clock, in seconds.
+    """
+
+    reason: CloseReason
+    since_s: float
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Violation:
     """An invalid request: it violates HTTP or exceeds a limit.
@@ -96,6 +125,7 @@
         is_idempotent: Whether the request may run more than once.
         stack: Releases the memory of its body.
         task: Produces the answer; None until the request is started.
+        is_being_written: Whether a part of the answer has been written.
     """
 
     request: exchange.CallerRequest
@@ -103,6 +133,7 @@
     is_idempotent: bool
     stack: contextlib.ExitStack
     task: "asyncio.Task[exchange.Answer] | None" = None
+    is_being_written: bool = False
 
     def drop(self) -> None:
         """Cancels the request, or drops its answer."""
--- a/berylweir/gateway/ingress/protocol.py
+++ b/berylweir/gateway/ingress/protocol.py
@@ -20,6 +20,7 @@
 from berylweir.gateway.exchange import models as exchange
 from berylweir.gateway.forwarding import codec
 from berylweir.gateway.ingress import models as ingress
+from berylweir.gateway.ingress import unanswered
 from berylweir.gateway.ingress import writer
 from berylweir.observability import counters
 from berylweir.platform import requests
@@ -88,8 +89,10 @@
         self._received_head_bytes = 0
         self._last_progress_s: float | None = None
         self._idle_since_s = self._loop.time()
-        self._is_input_closed = False
+        self._closed: ingress.Closed | None = None
         self._is_closing = False
+        self._is_parsable = True
+        self._unanswered = unanswered.Recorder(metrics)
         self._is_reading_paused = False
 
     @property
@@ -108,22 +111,25 @@
 
     def data_received(self, data: bytes) -> None:
         """Parses received bytes and enforces the limit on the head."""
-        if self._is_input_closed:
+        if not self._is_parsable:
             return
-        if self._last_progress_s is None:
+        if self._closed is None and self._last_progress_s is None:
             self._last_progress_s = self._loop.time()
         if self._incoming is None:
             self._received_head_bytes += len(data)
         try:
             self._parser.feed_data(data)
         except httptools.HttpParserUpgrade:
+            self._is_parsable = False
             self._reject(ingress.Violation(400, "upgrades are not supported"))
         except httptools.HttpParserError as error:
+            self._is_parsable = False
             self._reject(ingress.Violation(400, f"malformed request: {error}"))
         if (
             self._incoming is None
             and self._received_head_bytes > self._limits.max_header_bytes
         ):
+            self._is_parsable = False
             self._reject(ingress.Violation(431, "the headers are too large"))
 
     def eof_received(self) -> bool:
@@ -133,12 +139,11 @@
     def connection_lost(self, exc: Exception | None) -> None:
         """Cancels all requests, so that backend servers stop running them."""
         self._connections.discard(self)
-        self._is_input_closed = True
+        self._is_parsable = False
         self._resume_writing()
         if self._task is not None:
             self._task.cancel()
-        self._drop_incoming()
-        self._drop_queued_requests()
+        self._drop_requests()
 
     def pause_writing(self) -> None:
         """Stops writing while the caller reads more slowly than we write."""
@@ -173,10 +178,9 @@
     def on_headers_complete(self) -> None:
         """Decodes the head, checks its size and answers `Expect`."""
         self._received_head_bytes = 0
-        if self._is_input_closed:
-            return
         received_s = self._loop.time()
-        self._last_progress_s = received_s
+        if self._closed is None:
+            self._last_progress_s = received_s
         decoded = self._decode_head(
             self._parser.get_method().decode("latin-1"),
             self._url,
@@ -188,6 +192,9 @@
             case result.Err(failure):
                 self._reject(ingress.Violation(400, failure.reason))
                 return
+        if self._closed is not None:
+            self._record_crossed_close(head, self._closed)
+            return
         header_bytes = len(self._url) + sum(
             len(n) + len(v) for n, v in self._headers
         )
@@ -219,7 +226,7 @@
     def on_body(self, body: bytes) -> None:
         """Stores a part of the body and checks its size."""
         incoming = self._incoming
-        if self._is_input_closed or incoming is None:
+        if self._closed is not None or incoming is None:
             return
         incoming.body += body
         received_bytes = len(incoming.body)
@@ -240,7 +247,7 @@
         """Queues the request, and starts it if it can run in parallel."""
         incoming = self._incoming
         self._last_progress_s = None
-        if self._is_input_closed or incoming is None:
+        if self._closed is not None or incoming is None:
             self._drop_incoming()
             return
         self._incoming = None
@@ -282,7 +289,7 @@
         Args:
             now_s: Time on the loop's clock, in seconds.
         """
-        if self._is_input_closed:
+        if self._closed is not None:
             return
         if self._last_progress_s is not None:
             is_expired = (
@@ -297,7 +304,7 @@
             not self._queue
             and now_s - self._idle_since_s > self._limits.idle_timeout_s
         ):
-            self.close()
+            self.close(ingress.CloseReason.IDLE)
 
     def announce_close(self) -> None:
         """Makes the next answer tell the caller to close the connection."""
@@ -306,21 +313,25 @@
     def close_if_idle(self) -> None:
         """Closes the connection unless a request is received or handled."""
         if not self.is_busy:
-            self.close()
+            self.close(ingress.CloseReason.STOPPING)
 
-    def close(self) -> None:
+    def close(self, reason: ingress.CloseReason) -> None:
         """Closes the connection once the caller has received all data.
 
         Input is dropped from now on.
+
+        Args:
+            reason: Why it is closed.
         """
-        if self._is_input_closed:
+        if self._closed is not None:
             return
-        self._is_input_closed = True
+        self._close_input(reason)
         self._queue.append(ingress.Close())
         self._queue_filled.set()
 
     def abort(self) -> None:
         """Closes the connection at once; buffered data is lost."""
+        self._close_input(ingress.CloseReason.BROKEN)
         if self._transport is not None:
             self._transport.abort()
 
@@ -370,7 +381,8 @@
         )
         if closes_connection:
             # Requests that arrive from now on count as not received.
-            self._is_input_closed = True
+            self._close_input(ingress.CloseReason.ANNOUNCED)
+        entry.is_being_written = True
         with contextlib.closing(answer):
             if self._writer is not None:
                 await self._writer.write(
@@ -381,7 +393,7 @@
         self._queue.popleft()
         entry.stack.close()
         if closes_connection:
-            self._drop_queued_requests()
+            self._drop_requests()
             return False
         self._idle_since_s = self._loop.time()
         if self._is_reading_paused and len(self._queue) < _MAX_PIPELINED // 2:
@@ -443,28 +455,77 @@
         await lingering.close(self._transport)
 
     def _reject(self, failure: ingress.Violation | ingress.NoMemory) -> None:
-        if self._is_input_closed:
+        if self._closed is not None:
             return
-        self._is_input_closed = True
+        self._close_input(ingress.CloseReason.REJECTED)
         self._last_progress_s = None
         self._drop_incoming()
         self._queue.append(failure)
         self._queue_filled.set()
 
+    def _close_input(self, reason: ingress.CloseReason) -> None:
+        """Drops what arrives from now on."""
+        if self._closed is None:
+            self._closed = ingress.Closed(reason, self._loop.time())
+
+    def _record_crossed_close(
+        self, head: requests.RequestHead, closed: ingress.Closed
+    ) -> None:
+        self._unanswered.record(
+            unanswered.Unanswered(
+                head,
+                unanswered.Stage.CROSSED_CLOSE,
+                0.0,
+                len(self._queue),
+                closed,
+                round(closed.since_s - self._idle_since_s, 3),
+            )
+        )
+
     def _drop_incoming(self) -> None:
         if self._incoming is not None:
             self._incoming.stack.close()
             self._incoming = None
 
-    def _drop_queued_requests(self) -> None:
-        for entry in self._queue:
-            match entry:
-                case ingress.PendingRequest():
-                    entry.drop()
-                case ingress.Violation() | ingress.NoMemory() | ingress.Close():
-                    pass
-                case _:
-                    typing.assert_never(entry)
+    def _drop_requests(self) -> None:
+        """Cancels and records all requests without a complete answer."""
+        now_s = self._loop.time()
+        pending = [
+            e for e in self._queue if isinstance(e, ingress.PendingRequest)
+        ]
+        self._queue.clear()
+        for ahead, entry in enumerate(pending):
+            self._unanswered.record(
+                unanswered.Unanswered(
+                    entry.request.head,
+                    _stage_of(entry),
+                    now_s - entry.request.head_received_s,
+                    ahead,
+                    self._closed,
+                )
+            )
+            entry.drop()
+        if self._incoming is not None:
+            self._unanswered.record(
+                unanswered.Unanswered(
+                    self._incoming.head,
+                    unanswered.Stage.RECEIVING,
+                    now_s - self._incoming.received_s,
+                    len(pending),
+                    self._closed,
+                )
+            )
+            self._drop_incoming()
+
+
+def _stage_of(entry: ingress.PendingRequest) -> unanswered.Stage:
+    if entry.is_being_written:
+        return unanswered.Stage.WRITING
+    if entry.task is None:
+        return unanswered.Stage.WAITING
+    if entry.task.done():
+        return unanswered.Stage.READY
+    return unanswered.Stage.RUNNING
 
 
 def _stated_length(headers: Iterable[requests.Header]) -> int:
