Reproduce requests that end without an answer beside planned work

On the current code, a request that has arrived but isn't read when its connection is closed is dropped, and so are pipelined requests behind the answer that announces the close of a planned stop. Open connections keep the limits with which they were opened. Answers behind a slow one don't arrive before the caller leaves.

--- a/berylweir/standin/gateway_platform/server.py
+++ b/berylweir/standin/gateway_platform/server.py
@@ -362,7 +362,11 @@
 
 
 def configuration_spec(
-    groups: dict[str, bool], routes: list[dict[str, object]], version: int = 1
+    groups: dict[str, bool],
+    routes: list[dict[str, object]],
+    version: int = 1,
+    *,
+    idle_timeout_ms: int = 15_000,
 ) -> dict[str, object]:
     """Returns the spec of a configuration object.
 
@@ -370,6 +374,7 @@
         groups: For each group, whether its requests are routed by key.
         routes: Routes of the host `site.example`.
         version: Version number of the configuration.
+        idle_timeout_ms: Time for which an idle connection is kept, in ms.
     """
     return {
         "cfgVer": f"{version:08x}",
@@ -388,7 +393,7 @@
             "maxHeaderBytes": 16384,
             "maxBodyBytes": 1_000_000,
             "headerTimeoutMs": 3000,
-            "idleTimeoutMs": 15000,
+            "idleTimeoutMs": idle_timeout_ms,
         },
         "vhosts": [{"host": "site.example", "paths": routes}],
     }
--- a/tests/gateway/ingress/test_closing.py
+++ b/tests/gateway/ingress/test_closing.py
@@ -4,10 +4,21 @@
 import contextlib
 import socket
 
+import pytest
+
+from berylweir.gateway import models
+from berylweir.gateway.body_memory import budget
+from berylweir.gateway.exchange import models as exchange
+from berylweir.gateway.ingress import models as ingress
+from berylweir.gateway.ingress import protocol
+from berylweir.observability import counters
 from berylweir.standin.gateway_platform import http
 from tests.gateway import rig
 
 _BODY = bytes(900_000)
+_IDLE_TIMEOUT_MS = 2000
+# Longer than the idle timeout and an interval of its checks.
+_IDLE_S = 3.5
 # Smaller than the body, so that the rest waits in the gateway's kernel.
 _RECEIVE_BUFFER_BYTES = 16_384
 
@@ -87,3 +98,122 @@
             await asyncio.sleep(0.3)
             await assert_received(caller)
             assert (await caller.read()).status == 400
+
+
+@contextlib.asynccontextmanager
+async def open_connection():
+    """Opens a connection that was used once.
+
+    Yields:
+        The gateway's end and the caller.
+    """
+
+    async def handle(_: exchange.CallerRequest) -> exchange.Answer:
+        return exchange.Answer(200, (), b"")
+
+    metrics = counters.Counters()
+    connections: set[protocol.CallerConnection] = set()
+    server = await asyncio.get_running_loop().create_server(
+        lambda: protocol.CallerConnection(
+            handle,
+            lambda _: ingress.RequestTraits("r", is_idempotent=True),
+            models.CallerLimits(),
+            connections,
+            budget.BodyMemory(1_000_000, metrics),
+            metrics,
+        ),
+        "127.0.0.1",
+        0,
+    )
+    async with server:
+        caller = rig.Caller(
+            *await asyncio.open_connection(*server.sockets[0].getsockname())
+        )
+        with contextlib.closing(caller.writer):
+            caller.send("/r/1", "a1")
+            assert (await caller.read()).status == 200
+            (connection,) = connections
+            yield connection, caller
+
+
+def stop(connection: protocol.CallerConnection) -> None:
+    """Decides that a connection isn't needed any more."""
+    connection.close_if_idle()
+
+
+def check_idle_limit(connection: protocol.CallerConnection) -> None:
+    """Decides that a connection was idle for too long."""
+    connection.check_timeouts(asyncio.get_running_loop().time() + 3600.0)
+
+
+class TestArrivedRequests:
+    """Requests that have arrived when their connection is to be closed."""
+
+    @pytest.mark.parametrize("decide", [stop, check_idle_limit])
+    async def test_request_that_was_not_read_yet_is_answered(self, decide):
+        """Guards against dropping a request that waits in the kernel."""
+        async with open_connection() as (connection, caller):
+            caller.send("/r/2", "a2")
+            decide(connection)
+            reply = await caller.read()
+            assert reply is not None
+            assert (reply.status, reply.headers["connection"]) == (200, "close")
+            assert await caller.reader.read() == b""
+
+    @pytest.mark.parametrize("decide", [stop, check_idle_limit])
+    async def test_connection_without_a_request_is_closed(self, decide):
+        """Guards against a stop that waits for idle connections."""
+        async with open_connection() as (connection, caller):
+            decide(connection)
+            assert await caller.reader.read() == b""
+
+    async def test_pipelined_requests_are_answered_in_a_planned_stop(self):
+        """Guards against dropping requests behind the answer that closes."""
+        async with rig.Rig() as deployment:
+            await deployment.configure({"d": False}, [rig.route("r", "d")])
+            await deployment.add_server("s0", "d", service_s=0.6)
+            gateway = await deployment.add_gateway()
+            caller = await gateway.connect()
+            with contextlib.closing(caller.writer):
+                caller.send("/r/1", "a1")
+                await asyncio.sleep(0.2)
+                stop_task = asyncio.create_task(gateway.stop())
+                for number in (2, 3):
+                    await asyncio.sleep(0.1)
+                    caller.send(f"/r/{number}", f"a{number}")
+                replies = [await caller.read() for _ in range(3)]
+                assert [r and r.status for r in replies] == [200, 200, 200]
+                assert [r.headers.get("connection") for r in replies] == [
+                    None,
+                    None,
+                    "close",
+                ]
+                assert await caller.reader.read() == b""
+            await stop_task
+
+
+class TestIdleLimit:
+    """The limit on idle connections, which the operator may change."""
+
+    async def test_raised_limit_holds_for_open_connections(self):
+        """Guards against closing connections that callers may still use."""
+        async with rig.Rig() as deployment:
+            routes = [rig.route("r", "d")]
+            await deployment.configure(
+                {"d": False}, routes, idle_timeout_ms=_IDLE_TIMEOUT_MS
+            )
+            await deployment.add_server("s0", "d", service_s=0.0)
+            gateway = await deployment.add_gateway()
+            caller = await gateway.connect()
+            with contextlib.closing(caller.writer):
+                await deployment.configure(
+                    {"d": False}, routes, 2, idle_timeout_ms=60_000
+                )
+                await asyncio.sleep(1.0)
+                caller.send("/r/1", "a1")
+                assert (await caller.read()).status == 200
+                await asyncio.sleep(_IDLE_S)
+                caller.send("/r/2", "a2")
+                reply = await caller.read()
+                assert reply is not None
+                assert reply.status == 200
--- a/tests/gateway/ingress/test_unanswered.py
+++ b/tests/gateway/ingress/test_unanswered.py
@@ -23,7 +23,9 @@
         await deployment.add_server("s0", "slow", service_s=_SLOW_S)
         await deployment.add_server("s1", "fast", service_s=0.0)
         gateway = await deployment.add_gateway()
-        yield deployment, gateway, await gateway.connect()
+        caller = await gateway.connect()
+        with contextlib.closing(caller.writer):
+            yield deployment, gateway, caller
 
 
 def unanswered(gateway: rig.Gateway) -> dict[str, int]:
--- a/tests/gateway/rig.py
+++ b/tests/gateway/rig.py
@@ -286,12 +286,15 @@
         groups: dict[str, bool],
         routes: list[dict[str, object]],
         version: int = 1,
+        **limits: int,
     ) -> None:
         """Writes a configuration."""
         await self.store.put(
             "config",
             "main",
-            server_standin.configuration_spec(groups, routes, version),
+            server_standin.configuration_spec(
+                groups, routes, version, **limits
+            ),
         )
 
     async def add_server(
