Answer all requests that have arrived before a connection is closed

Cause: a connection was closed, or its last answer chosen, by what had been started, not by what had arrived. A request that wasn't read yet when an idle connection was closed was dropped; pipelined requests weren't started once a stop had begun, and were dropped behind the answer of the first one.

Change: an idle connection is closed after the event loop had the opportunity to read from it and nothing had arrived. In a stop, requests are handled as long as they arrive before the last answer, which announces the close. From 2.8 s on no further request is taken from a connection with requests in it.

--- a/berylweir/gateway/ingress/models.py
+++ b/berylweir/gateway/ingress/models.py
@@ -110,11 +110,6 @@
         return now_s > self.received_s + deadline_ms / 1000.0
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Close:
-    """The connection is closed behind the answers before it."""
-
-
 @dataclasses.dataclass(slots=True, eq=False)
 class PendingRequest:
     """A request whose answer hasn't been written completely.
@@ -143,7 +138,7 @@
             self.task.add_done_callback(_close_answer)
 
 
-Entry = PendingRequest | Violation | NoMemory | Close
+Entry = PendingRequest | Violation | NoMemory
 
 
 def _close_answer(task: "asyncio.Task[exchange.Answer]") -> None:
--- a/berylweir/gateway/ingress/protocol.py
+++ b/berylweir/gateway/ingress/protocol.py
@@ -20,6 +20,7 @@
 from berylweir.gateway.exchange import models as exchange
 from berylweir.gateway.forwarding import codec
 from berylweir.gateway.ingress import models as ingress
+from berylweir.gateway.ingress import rejections
 from berylweir.gateway.ingress import unanswered
 from berylweir.gateway.ingress import writer
 from berylweir.observability import counters
@@ -29,11 +30,11 @@
 _LOGGER = logging.getLogger(__name__)
 # Reading from a connection pauses while this many requests are queued.
 _MAX_PIPELINED = 32
+# Time in which the event loop reads what has arrived before a connection is
+# closed, in seconds.
+_READ_S = 0.01
 # Digits of the longest `content-length` that is read.
 _MAX_LENGTH_DIGITS = 18
-# Retry-After if there is no memory for the body of a request, in seconds. Other
-# requests end meanwhile.
-_NO_MEMORY_RETRY_AFTER_S = 1.0
 
 HandleRequest = Callable[[exchange.CallerRequest], Awaitable[exchange.Answer]]
 DecodeHead = Callable[[str, bytes, Sequence[requests.Header]], codec.Decoded]
@@ -82,7 +83,7 @@
         self._writer: writer.AnswerWriter | None = None
         self._task: asyncio.Task[None] | None = None
         self._queue: collections.deque[ingress.Entry] = collections.deque()
-        self._queue_filled = asyncio.Event()
+        self._wake = asyncio.Event()
         self._url = b""
         self._headers: list[tuple[bytes, bytes]] = []
         self._incoming: ingress.IncomingRequest | None = None
@@ -91,8 +92,10 @@
         self._idle_since_s = self._loop.time()
         self._closed: ingress.Closed | None = None
         self._is_closing = False
+        self._requested_close: ingress.CloseReason | None = None
         self._is_parsable = True
         self._unanswered = unanswered.Recorder(metrics)
+        self._rejections = rejections.RejectionWriter(memory, metrics)
         self._is_reading_paused = False
 
     @property
@@ -264,22 +267,16 @@
             incoming.stack,
         )
         self._queue.append(pending)
-        # A request that isn't started before the connection closes counts as
-        # not received, so the caller may safely send it again.
-        can_start = (
-            is_idempotent
-            and not self._is_closing
-            and all(
-                isinstance(p, ingress.PendingRequest) and p.keep_alive
-                for p in list(self._queue)[:-1]
-            )
+        can_start = is_idempotent and all(
+            isinstance(p, ingress.PendingRequest) and p.keep_alive
+            for p in list(self._queue)[:-1]
         )
         if can_start or len(self._queue) == 1:
             self._start_request(pending)
         if len(self._queue) >= _MAX_PIPELINED and self._transport is not None:
             self._is_reading_paused = True
             self._transport.pause_reading()
-        self._queue_filled.set()
+        self._wake.set()
 
     # Called by the listener
 
@@ -304,30 +301,34 @@
             not self._queue
             and now_s - self._idle_since_s > self._limits.idle_timeout_s
         ):
-            self.close(ingress.CloseReason.IDLE)
+            self._request_close(ingress.CloseReason.IDLE)
 
     def announce_close(self) -> None:
-        """Makes the next answer tell the caller to close the connection."""
-        self._is_closing = True
+        """Makes the last answer tell the caller to close the connection.
 
-    def close_if_idle(self) -> None:
-        """Closes the connection unless a request is received or handled."""
-        if not self.is_busy:
-            self.close(ingress.CloseReason.STOPPING)
-
-    def close(self, reason: ingress.CloseReason) -> None:
-        """Closes the connection once the caller has received all data.
+        Requests that are received before that answer is written are answered
+        too.
+        """
+        self._is_closing = True
 
-        Input is dropped from now on.
+    def finish(self) -> None:
+        """Closes the connection once the requests received are answered.
 
-        Args:
-            reason: Why it is closed.
+        To be called again later, since one that is being received isn't
+        interrupted.
         """
-        if self._closed is not None:
+        if self._last_progress_s is not None:
             return
-        self._close_input(reason)
-        self._queue.append(ingress.Close())
-        self._queue_filled.set()
+        if self._queue:
+            self._close_input(ingress.CloseReason.STOPPING)
+        self._request_close(ingress.CloseReason.STOPPING)
+
+    def _request_close(self, reason: ingress.CloseReason) -> None:
+        """Closes the connection unless a request arrives first."""
+        self._is_closing = True
+        if self._requested_close is None:
+            self._requested_close = reason
+            self._wake.set()
 
     def abort(self) -> None:
         """Closes the connection at once; buffered data is lost."""
@@ -339,10 +340,7 @@
 
     async def _answer_requests(self) -> None:
         try:
-            while True:
-                while not self._queue:
-                    self._queue_filled.clear()
-                    await self._queue_filled.wait()
+            while await self._wait_for_request():
                 if not await self._answer_next():
                     break
             await self._linger()
@@ -354,18 +352,41 @@
             _LOGGER.exception("unhandled error in a request")
             self.abort()
 
+    async def _wait_for_request(self) -> bool:
+        """Returns whether there is one; if not, the connection is closed."""
+        while not self._queue:
+            if self._closed is not None:
+                return False
+            self._wake.clear()
+            if self._requested_close is not None and not self.is_busy:
+                if await self._is_quiet():
+                    self._close_input(self._requested_close)
+                    return False
+            else:
+                await self._wake.wait()
+        return True
+
+    async def _is_quiet(self) -> bool:
+        """Returns whether no request has arrived.
+
+        The event loop may not have read from the connection for some time, so
+        it gets the opportunity first.
+        """
+        await asyncio.sleep(_READ_S)
+        return (
+            not self.is_busy
+            and self._transport is not None
+            and lingering.count_unread(self._transport) == 0
+        )
+
     async def _answer_next(self) -> bool:
         """Answers the oldest request; returns whether the next may follow."""
         match self._queue[0]:
             case ingress.PendingRequest() as entry:
                 return await self._answer_request(entry)
-            case ingress.Violation() as violation:
-                self._write_violation(violation)
-                return False
-            case ingress.NoMemory() as failure:
-                self._write_no_memory(failure)
-                return False
-            case ingress.Close():
+            case ingress.Violation() | ingress.NoMemory() as failure:
+                if self._writer is not None:
+                    self._rejections.write(failure, self._writer)
                 return False
             case _ as unknown:
                 typing.assert_never(unknown)
@@ -377,7 +398,9 @@
         assert entry.task is not None
         answer = await entry.task
         closes_connection = not entry.keep_alive or (
-            self._is_closing and not self._has_other_started_requests()
+            self._is_closing
+            and len(self._queue) == 1
+            and self._last_progress_s is None
         )
         if closes_connection:
             # Requests that arrive from now on count as not received.
@@ -402,13 +425,6 @@
                 self._transport.resume_reading()
         return True
 
-    def _has_other_started_requests(self) -> bool:
-        """Returns whether a request behind the first has been started."""
-        return any(
-            isinstance(p, ingress.PendingRequest) and p.task is not None
-            for p in list(self._queue)[1:]
-        )
-
     def _start_request(self, pending: ingress.PendingRequest) -> None:
         pending.task = self._loop.create_task(
             typing.cast(
@@ -417,34 +433,6 @@
             )
         )
 
-    def _write_violation(self, violation: ingress.Violation) -> None:
-        self._metrics.count(f"gateway.violation.{violation.status}")
-        _LOGGER.warning(
-            "invalid request",
-            extra={"status": violation.status, "reason": violation.reason},
-        )
-        if self._writer is not None:
-            self._writer.write_last(violation.status)
-
-    def _write_no_memory(self, failure: ingress.NoMemory) -> None:
-        """Answers 503: no server has run the request or will run it later."""
-        self._metrics.count("gateway.body_memory.rejected")
-        _LOGGER.warning(
-            "no memory for the body of a request",
-            extra={
-                "request": failure.request_id,
-                "size_bytes": failure.size_bytes,
-                "held_bytes": self._memory.held_bytes,
-            },
-        )
-        if self._writer is not None:
-            self._writer.write_last(
-                503,
-                requests.encode_error_headers(
-                    failure.request_id, _NO_MEMORY_RETRY_AFTER_S
-                ),
-            )
-
     async def _linger(self) -> None:
         """Closes the connection once the caller has received all data."""
         if self._transport is None:
@@ -461,7 +449,7 @@
         self._last_progress_s = None
         self._drop_incoming()
         self._queue.append(failure)
-        self._queue_filled.set()
+        self._wake.set()
 
     def _close_input(self, reason: ingress.CloseReason) -> None:
         """Drops what arrives from now on."""
--- a/berylweir/gateway/ingress/task.py
+++ b/berylweir/gateway/ingress/task.py
@@ -26,8 +26,8 @@
 # after two failed checks. The platform expects that requests of the first 3 s
 # are served; it counts from its signal, which may be handled a little later.
 _ACCEPT_S = 2.8
-# Interval at which idle connections are closed during shutdown, in seconds.
-_IDLE_CLOSE_INTERVAL_S = 0.1
+# Interval at which connections are closed late in a shutdown, in seconds.
+_CLOSE_INTERVAL_S = 0.1
 # Time reserved at the end of the grace period before SIGKILL, in seconds.
 _SHUTDOWN_MARGIN_S = 0.6
 # Largest size of the headers that another gateway adds, in bytes.
@@ -232,8 +232,8 @@
         server.close()
         while self._connections and loop.time() < deadline_s:
             for connection in tuple(self._connections):
-                connection.close_if_idle()
-            await asyncio.sleep(_IDLE_CLOSE_INTERVAL_S)
+                connection.finish()
+            await asyncio.sleep(_CLOSE_INTERVAL_S)
         _LOGGER.info(
             "ingress closed",
             extra={
--- a/berylweir/transports/lingering.py
+++ b/berylweir/transports/lingering.py
@@ -37,6 +37,21 @@
     return buffered + int(unsent)
 
 
+def count_unread(transport: asyncio.Transport) -> int:
+    """Returns how many received bytes wait in the kernel.
+
+    Args:
+        transport: An open transport of a socket.
+    """
+    sock = transport.get_extra_info("socket")
+    try:
+        queued = fcntl.ioctl(sock.fileno(), termios.FIONREAD, _INT.pack(0))
+    except OSError:
+        return 0  # The socket has been closed.
+    (unread,) = _INT.unpack(queued)
+    return int(unread)
+
+
 async def close(transport: asyncio.Transport) -> None:
     """Sends the end of the data, and closes the connection later.
 
--- a/tests/gateway/ingress/test_closing.py
+++ b/tests/gateway/ingress/test_closing.py
@@ -138,7 +138,7 @@
 
 def stop(connection: protocol.CallerConnection) -> None:
     """Decides that a connection isn't needed any more."""
-    connection.close_if_idle()
+    connection.finish()
 
 
 def check_idle_limit(connection: protocol.CallerConnection) -> None:
