Apply new limits of callers to open connections

After the operator had raised the idle limit, callers sent requests on connections that the gateway was closing, and got no answer.

Cause: a connection copied the limits of the configuration at its start. Callers go by the newest.

Change: a connection asks for the limits when it needs them; so do the limits on heads, bodies and slow requests.

--- a/berylweir/gateway/ingress/protocol.py
+++ b/berylweir/gateway/ingress/protocol.py
@@ -51,7 +51,7 @@
         self,
         handle_request: HandleRequest,
         find_traits: Callable[[requests.RequestHead], ingress.RequestTraits],
-        limits: models.CallerLimits,
+        get_limits: Callable[[], models.CallerLimits],
         connections: "set[CallerConnection]",
         memory: budget.BodyMemory,
         metrics: counters.Counters,
@@ -64,7 +64,7 @@
             find_traits: Returns what the configuration says of a request.
                 Requests that aren't idempotent wait until all earlier answers
                 have been written.
-            limits: Limits on what a caller may send.
+            get_limits: Returns the newest limits on what a caller may send.
             connections: All open connections of the listener.
             memory: Memory for the bodies of requests.
             metrics: Counters.
@@ -74,7 +74,7 @@
         self._handle_request = handle_request
         self._find_traits = find_traits
         self._memory = memory
-        self._limits = limits
+        self._get_limits = get_limits
         self._connections = connections
         self._metrics = metrics
         self._loop = asyncio.get_running_loop()
@@ -130,7 +130,7 @@
             self._reject(ingress.Violation(400, f"malformed request: {error}"))
         if (
             self._incoming is None
-            and self._received_head_bytes > self._limits.max_header_bytes
+            and self._received_head_bytes > self._get_limits().max_header_bytes
         ):
             self._is_parsable = False
             self._reject(ingress.Violation(431, "the headers are too large"))
@@ -201,7 +201,7 @@
         header_bytes = len(self._url) + sum(
             len(n) + len(v) for n, v in self._headers
         )
-        if header_bytes > self._limits.max_header_bytes:
+        if header_bytes > self._get_limits().max_header_bytes:
             self._reject(ingress.Violation(431, "the headers are too large"))
             return
         traits = self._find_traits(head)
@@ -213,7 +213,7 @@
             head, origin, traits, received_s, reservation, stack
         )
         stated_bytes = _stated_length(self._headers)
-        if stated_bytes > self._limits.max_body_bytes:
+        if stated_bytes > self._get_limits().max_body_bytes:
             self._reject(ingress.Violation(413, "the body is too large"))
             return
         if not reservation.hold(stated_bytes, body_memory.Upload()):
@@ -234,7 +234,7 @@
         incoming.body += body
         received_bytes = len(incoming.body)
         self._last_progress_s = self._loop.time()
-        if received_bytes > self._limits.max_body_bytes:
+        if received_bytes > self._get_limits().max_body_bytes:
             self._reject(ingress.Violation(413, "the body is too large"))
             return
         # A body in chunks states no length.
@@ -293,13 +293,13 @@
                 self._incoming is not None and self._incoming.is_expired(now_s)
             )
             waited_s = now_s - self._last_progress_s
-            if is_expired or waited_s > self._limits.header_timeout_s:
+            if is_expired or waited_s > self._get_limits().header_timeout_s:
                 self._reject(
                     ingress.Violation(408, "the request arrives too slowly")
                 )
         elif (
             not self._queue
-            and now_s - self._idle_since_s > self._limits.idle_timeout_s
+            and now_s - self._idle_since_s > self._get_limits().idle_timeout_s
         ):
             self._request_close(ingress.CloseReason.IDLE)
 
--- a/berylweir/gateway/ingress/task.py
+++ b/berylweir/gateway/ingress/task.py
@@ -13,6 +13,7 @@
 from berylweir.gateway.forwarding import codec
 from berylweir.gateway.ingress import models as ingress
 from berylweir.gateway.ingress import protocol
+from berylweir.gateway.routing import decisions as routing
 from berylweir.observability import counters
 from berylweir.platform import requests
 from berylweir.supervision import models as supervision
@@ -124,6 +125,8 @@
         self._metrics = metrics
         self._connections: set[protocol.CallerConnection] = set()
         self._is_listening = False
+        self._limits_source: routing.RouteTable | None = None
+        self._limits = self._build_limits(None)
 
     @property
     def is_ready(self) -> bool:
@@ -170,7 +173,7 @@
         connection = protocol.CallerConnection(
             self._handle_request,
             self._find_traits,
-            self._get_limits(),
+            self._get_limits,
             self._connections,
             self._memory,
             self._metrics,
@@ -191,7 +194,16 @@
         )
 
     def _get_limits(self) -> models.CallerLimits:
+        """Returns the limits of the newest configuration."""
         route_table = self._request_handler.route_table
+        if route_table is not self._limits_source:
+            self._limits_source = route_table
+            self._limits = self._build_limits(route_table)
+        return self._limits
+
+    def _build_limits(
+        self, route_table: routing.RouteTable | None
+    ) -> models.CallerLimits:
         limits = (
             route_table.configuration.limits
             if route_table
--- a/tests/gateway/ingress/test_closing.py
+++ b/tests/gateway/ingress/test_closing.py
@@ -117,7 +117,7 @@
         lambda: protocol.CallerConnection(
             handle,
             lambda _: ingress.RequestTraits("r", is_idempotent=True),
-            models.CallerLimits(),
+            models.CallerLimits,
             connections,
             budget.BodyMemory(1_000_000, metrics),
             metrics,
