Answer pipelined requests before the shortest deadline among them

Callers got no answer to requests whose answers were ready: the answers to pipelined requests are written in order, and while the oldest had none, those behind it waited until the shortest deadline among them passed. The caller then closed the connection, and all were lost.

Cause: the oldest request could take its whole time, whatever waited behind it.

Change: a request that may be repeated has its time limited by the deadlines of the requests behind it. At the limit it is answered: 503 if nothing was sent to a server, 504 otherwise. Requests with nothing behind them, and those that may not be repeated, keep their time.

--- a/berylweir/gateway/exchange/answers.py
+++ b/berylweir/gateway/exchange/answers.py
@@ -96,6 +96,20 @@
             )
         return self.refuse(request, route, "out of time")
 
+    def answer_given_up(
+        self,
+        request: exchange.CallerRequest,
+        route: models.Route,
+        state: exchange.RequestState,
+    ) -> exchange.Answer:
+        """Answers that the requests behind this one can't wait any longer."""
+        self._metrics.count("gateway.given_up")
+        if state.may_have_run or state.sent_to is not None:
+            return self.fail(
+                request, route, outcomes.GATEWAY_TIMEOUT, "given up"
+            )
+        return self.refuse(request, route, "given up")
+
     def answer_stopping(
         self,
         request: exchange.CallerRequest,
--- a/berylweir/gateway/exchange/handler.py
+++ b/berylweir/gateway/exchange/handler.py
@@ -100,7 +100,12 @@
             return self._answers.answer_no_route(request)
         group, state, timeout_ms = self._prepare(request, route)
         try:
-            return await self._serve(request, route, group, state, timeout_ms)
+            async with request.answer_limit.enforce():
+                return await self._serve(
+                    request, route, group, state, timeout_ms
+                )
+        except TimeoutError:
+            return self._answers.answer_given_up(request, route, state)
         except asyncio.CancelledError:
             self._answers.record_abandoned(request, route, state)
             raise
--- a/berylweir/gateway/exchange/models.py
+++ b/berylweir/gateway/exchange/models.py
@@ -4,11 +4,13 @@
 import contextlib
 import dataclasses
 import enum
+import math
 import typing
 
 from berylweir import records
 from berylweir.crash_suspects import fingerprint
 from berylweir.gateway import models
+from berylweir.gateway.exchange import answer_limits
 from berylweir.platform import requests
 
 
@@ -49,12 +51,22 @@
         head_received_s: When the head was complete, on the loop's clock, in
             seconds.
         origin: From whom this gateway received it.
+        answer_limit: Until when its answer can be used.
     """
 
     head: requests.RequestHead
     body: bytes | bytearray
     head_received_s: float
     origin: Origin = FromCaller()
+    answer_limit: answer_limits.AnswerLimit = dataclasses.field(
+        default_factory=answer_limits.AnswerLimit, compare=False
+    )
+
+    @property
+    def deadline_s(self) -> float:
+        """When the caller leaves, on the loop's clock, in seconds."""
+        deadline_ms = self.head.deadline_ms or math.inf
+        return self.head_received_s + deadline_ms / 1000.0
 
     def fingerprint(self) -> int:
         """Returns a hash that all repeats of this request have in common.
--- a/berylweir/gateway/ingress/models.py
+++ b/berylweir/gateway/ingress/models.py
@@ -10,6 +10,11 @@
 from berylweir.gateway.exchange import models as exchange
 from berylweir.platform import requests
 
+# Time before the deadline of a caller at which its answers are written, so that
+# they arrive in time: in seconds, and as a share of its whole time.
+_MAX_ANSWER_LEAD_S = 0.1
+_ANSWER_LEAD_SHARE = 0.1
+
 
 class CloseReason(enum.Enum):
     """Why a gateway closes the connection of a caller."""
@@ -130,6 +135,24 @@
     task: "asyncio.Task[exchange.Answer] | None" = None
     is_being_written: bool = False
 
+    def limit_answer(self, next_deadline_s: float) -> None:
+        """Makes room for the answer to a request behind this one.
+
+        A caller closes the connection at the shortest deadline of its requests,
+        and none of them is answered then. A request that may not be repeated
+        keeps its time, since its caller couldn't tell whether it has run.
+
+        Args:
+            next_deadline_s: Deadline of the request behind this one, on the
+                loop's clock, in seconds.
+        """
+        if not self.is_idempotent:
+            return
+        deadline_s = min(self.request.deadline_s, next_deadline_s)
+        time_s = deadline_s - self.request.head_received_s
+        lead_s = min(_MAX_ANSWER_LEAD_S, time_s * _ANSWER_LEAD_SHARE)
+        self.request.answer_limit.lower(deadline_s - lead_s)
+
     def drop(self) -> None:
         """Cancels the request, or drops its answer."""
         self.stack.close()
--- a/berylweir/gateway/ingress/protocol.py
+++ b/berylweir/gateway/ingress/protocol.py
@@ -266,6 +266,14 @@
             is_idempotent,
             incoming.stack,
         )
+        for earlier in self._queue:
+            match earlier:
+                case ingress.PendingRequest():
+                    earlier.limit_answer(pending.request.deadline_s)
+                case ingress.Violation() | ingress.NoMemory():
+                    pass
+                case _:
+                    typing.assert_never(earlier)
         self._queue.append(pending)
         can_start = is_idempotent and all(
             isinstance(p, ingress.PendingRequest) and p.keep_alive
