Let a test of planned stops demand answers to pipelined requests

test_sigterm_closes_a_connection_that_is_never_idle asserted that requests behind those that had been started get no answer. It guards against callers that keep a stopping gateway busy.

The new one has a caller that sends requests without end. It demands that the last answer, and only that one, announces the close, that each request read before has its answer, and that no other request runs.

--- a/tests/gateway/test_path.py
+++ b/tests/gateway/test_path.py
@@ -334,20 +334,36 @@
             await stop_task
 
     async def test_sigterm_closes_a_connection_that_is_never_idle(self):
-        """Guards against callers that keep a draining gateway busy."""
+        """Guards against callers that keep a draining gateway busy.
+
+        Each request that was received before the close is answered, and no
+        other one is run.
+        """
         async with start_deployment(servers=1) as (deployment, gateway):
             deployment.servers["s0"].service_s = 0.3
             caller = await gateway.connect()
-            for number in range(3):
-                caller.send(f"/r/{number}", f"a{number}")
-            await rig.until(lambda: deployment.servers["s0"].in_flight == 3)
+
+            async def send_requests() -> None:
+                for number in itertools.count():
+                    caller.send(f"/r/{number}", f"a{number}")
+                    await asyncio.sleep(0.2)
+
+            send_task = asyncio.create_task(send_requests())
+            await rig.until(lambda: deployment.servers["s0"].in_flight > 1)
             stop_task = asyncio.create_task(gateway.stop())
-            await asyncio.sleep(0.05)
-            for number in range(3, 6):
-                caller.send(f"/r/{number}", f"a{number}")
-            replies = [await caller.read() for _ in range(4)]
-            assert [r and r.status for r in replies] == [200, 200, 200, None]
-            assert sorted(run_ids(deployment)) == ["a0", "a1", "a2"]
+            replies = []
+            while reply := await caller.read():
+                replies.append(reply)
+            send_task.cancel()
+            assert {r.status for r in replies} == {200}
+            assert [
+                number
+                for number, reply in enumerate(replies, 1)
+                if "connection" in reply.headers
+            ] == [len(replies)]
+            assert sorted(run_ids(deployment)) == sorted(
+                f"a{number}" for number in range(len(replies))
+            )
             await stop_task
 
     async def test_draining_gateway_finally_stops_accepting_connections(self):
