Log how long after the close a crossing request was read

Cause: whether a request that was dropped had been on its way or had waited in the kernel can't be told without it.

--- a/berylweir/gateway/ingress/protocol.py
+++ b/berylweir/gateway/ingress/protocol.py
@@ -475,6 +475,7 @@
                 len(self._queue),
                 closed,
                 round(closed.since_s - self._idle_since_s, 3),
+                round(self._loop.time() - closed.since_s, 3),
             )
         )
 
--- a/berylweir/gateway/ingress/unanswered.py
+++ b/berylweir/gateway/ingress/unanswered.py
@@ -40,6 +40,8 @@
         close: How the gateway closed the connection; None if the caller did.
         idle_s: Time without a request before the gateway closed the connection,
             in seconds; None if the caller closed it.
+        after_close_s: Time from that close until the request was read, in
+            seconds; None if it was read before.
     """
 
     head: requests.RequestHead
@@ -48,6 +50,7 @@
     requests_ahead: int
     close: ingress.Closed | None
     idle_s: float | None = None
+    after_close_s: float | None = None
 
 
 class Recorder:
@@ -79,5 +82,6 @@
                 "elapsed_ms": round(unanswered.age_s * 1000.0, 1),
                 "deadline_ms": unanswered.head.deadline_ms,
                 "idle_s": unanswered.idle_s,
+                "after_close_s": unanswered.after_close_s,
             },
         )
