Leave requests unread that cross the close of an idle connection

Cause: after the gateway had ended its side of an idle connection, it went on reading, and dropped what came. A request that crossed the close was received by a process that couldn't answer it. A request can be on its way for longer than the round trip if the VM's link is busy, so that no check before the close finds it.

Change: nothing is read from an idle connection once its end has been sent. It is closed when the caller has closed its side, or after a second; unread bytes reset it. A caller may repeat any request that wasn't received. Connections whose last answer isn't acknowledged are still read, since a reset would cut it off.

--- a/berylweir/gateway/ingress/protocol.py
+++ b/berylweir/gateway/ingress/protocol.py
@@ -350,8 +350,9 @@
         try:
             while await self._wait_for_request():
                 if not await self._answer_next():
-                    break
-            await self._linger()
+                    await self._linger()
+                    return
+            await self._close_idle()
         except exceptions.ResponseTruncatedError:
             self._metrics.count("gateway.response.cut")
             self.abort()
@@ -441,6 +442,15 @@
             )
         )
 
+    async def _close_idle(self) -> None:
+        """Closes the connection after all requests were answered."""
+        if self._transport is None or self._transport.is_closing():
+            return
+        idle_s = self._loop.time() - self._idle_since_s
+        unread = await lingering.close_idle(self._transport)
+        if unread > 0:
+            self._unanswered.record_unread(unread, self._closed, idle_s)
+
     async def _linger(self) -> None:
         """Closes the connection once the caller has received all data."""
         if self._transport is None:
--- a/berylweir/gateway/ingress/unanswered.py
+++ b/berylweir/gateway/ingress/unanswered.py
@@ -85,3 +85,23 @@
                 "after_close_s": unanswered.after_close_s,
             },
         )
+
+    def record_unread(
+        self, size_bytes: int, close: ingress.Closed | None, idle_s: float
+    ) -> None:
+        """Records that a caller sent something while a connection was closed.
+
+        Args:
+            size_bytes: Bytes that were left unread.
+            close: How the gateway closed the connection.
+            idle_s: Time without a request before, in seconds.
+        """
+        self._metrics.count("gateway.closed_unread")
+        _LOGGER.info(
+            "closed unread",
+            extra={
+                "size_bytes": size_bytes,
+                "reason": None if close is None else close.reason.value,
+                "idle_s": round(idle_s, 3),
+            },
+        )
--- a/berylweir/transports/lingering.py
+++ b/berylweir/transports/lingering.py
@@ -8,6 +8,7 @@
 
 import asyncio
 import fcntl
+import select
 import struct
 import termios
 
@@ -17,6 +18,9 @@
 _ACKNOWLEDGED_LINGER_S = 1.0
 # Time without an acknowledgement after which data counts as lost, in seconds.
 _STALLED_LINGER_S = 15.0
+# Interval at which an idle connection that is being closed is checked for the
+# close of the other end, in seconds.
+_CLOSE_CHECK_INTERVAL_S = 0.05
 _INT = struct.Struct("i")
 
 
@@ -52,6 +56,41 @@
     return int(unread)
 
 
+def _has_peer_closed(transport: asyncio.Transport) -> bool:
+    """Returns whether the other end has ended its side of the connection."""
+    sock = transport.get_extra_info("socket")
+    poll = select.poll()
+    poll.register(sock.fileno(), select.POLLRDHUP)
+    return bool(poll.poll(0))
+
+
+async def close_idle(transport: asyncio.Transport) -> int:
+    """Closes a connection on which nothing is due, and reads nothing more.
+
+    A request that crosses the close isn't received by this process, which
+    couldn't answer it. The connection is reset behind it then.
+
+    Args:
+        transport: Transport of a connection whose requests were all answered.
+
+    Returns:
+        How many bytes were left unread.
+    """
+    if count_unacknowledged(transport) > 0 or not transport.can_write_eof():
+        # A reset would lose the rest of the last answer.
+        await close(transport)
+        return 0
+    transport.pause_reading()
+    transport.write_eof()
+    for _ in range(round(_ACKNOWLEDGED_LINGER_S / _CLOSE_CHECK_INTERVAL_S)):
+        if _has_peer_closed(transport):
+            break
+        await asyncio.sleep(_CLOSE_CHECK_INTERVAL_S)
+    unread = count_unread(transport)
+    transport.close()
+    return unread
+
+
 async def close(transport: asyncio.Transport) -> None:
     """Sends the end of the data, and closes the connection later.
 
--- a/tests/transports/test_lingering.py
+++ b/tests/transports/test_lingering.py
@@ -15,11 +15,16 @@
     def __init__(self) -> None:
         self.transport = None
         self.is_lost = asyncio.Event()
+        self.received = b""
 
     def connection_made(self, transport):
         """Stores the transport."""
         self.transport = transport
 
+    def data_received(self, data):
+        """Stores what is received."""
+        self.received += data
+
     def connection_lost(self, exc):
         """Records the end."""
         self.is_lost.set()
@@ -98,3 +103,42 @@
             assert await receive_all(other) == len(_DATA)
             await asyncio.sleep(0.2)
             assert lingering.count_unacknowledged(owner.transport) == 0
+
+
+class TestCloseIdle:
+    """`lingering.close_idle`."""
+
+    async def test_crossing_data_is_left_unread(self):
+        """Guards against receiving what can't be answered any more."""
+        async with open_connection() as (owner, other):
+            close_task = asyncio.create_task(
+                lingering.close_idle(owner.transport)
+            )
+            assert await receive_all(other) == 0
+            other.send(b"request")
+            assert await close_task == len(b"request")
+            assert owner.received == b""
+
+    async def test_connection_ends_with_the_other_end(self):
+        """Guards against a stop that waits for connections that have ended."""
+        async with open_connection() as (owner, other):
+            close_task = asyncio.create_task(
+                lingering.close_idle(owner.transport)
+            )
+            assert await receive_all(other) == 0
+            other.close()
+            assert await close_task == 0
+            await owner.is_lost.wait()
+
+    async def test_unacknowledged_data_is_delivered(self):
+        """Guards against a reset that cuts off the last answer."""
+        async with open_connection() as (owner, other):
+            owner.transport.write(_DATA)
+            close_task = asyncio.create_task(
+                lingering.close_idle(owner.transport)
+            )
+            await asyncio.sleep(0.2)
+            other.send(b"request")
+            assert await receive_all(other) == len(_DATA)
+            other.close()
+            assert await close_task == 0
