Name the counters of unanswered requests as the metrics page lists them

Cause: tests/docs/test_metrics.py failed: a counter with two parts that are completed at run time can't be listed.

Result: tests of the docs pass.

--- a/berylweir/gateway/ingress/unanswered.py
+++ b/berylweir/gateway/ingress/unanswered.py
@@ -69,7 +69,7 @@
         stage = unanswered.stage
         close = unanswered.close
         closed_by = "caller" if close is None else "gateway"
-        self._metrics.count(f"gateway.unanswered.{closed_by}.{stage.value}")
+        self._metrics.count(f"gateway.unanswered.{closed_by}_{stage.value}")
         _LOGGER.info(
             "unanswered",
             extra={
--- a/tests/gateway/ingress/test_unanswered.py
+++ b/tests/gateway/ingress/test_unanswered.py
@@ -55,9 +55,9 @@
             caller.writer.close()
             await rig.until(lambda: len(unanswered(gateway)) == 3)
             assert unanswered(gateway) == {
-                "caller.running": 1,
-                "caller.ready": 1,
-                "caller.receiving": 1,
+                "caller_running": 1,
+                "caller_ready": 1,
+                "caller_receiving": 1,
             }
         lines = [r for r in caplog.records if r.message == "unanswered"]
         assert [(r.request, r.requests_ahead) for r in lines] == [
@@ -78,7 +78,7 @@
             assert reply.headers["connection"] == "close"
             caller.send("/fast/2", "a2")
             await rig.until(lambda: bool(unanswered(gateway)))
-            assert unanswered(gateway) == {"gateway.crossed_close": 1}
+            assert unanswered(gateway) == {"gateway_crossed_close": 1}
             caller.writer.close()
             await stop_task
 
