Move requests that are being received out of the protocol of the router

A request that is being received now has a module of its own, which names what it needs of its connection. No behaviour changes.

Evidence: tests/router passes as before.

--- a/bench/layers.py
+++ b/bench/layers.py
@@ -7,6 +7,7 @@
 from berylweir.observability import counters
 from berylweir.peers import messages as peers
 from berylweir.router.ingress import decisions
+from berylweir.router.ingress import incoming
 from berylweir.router.ingress import models
 from berylweir.router.ingress import protocol
 from berylweir.router.table import decisions as table
@@ -29,7 +30,7 @@
     ids = itertools.count(1)
 
     async def serve_one(
-        request: protocol.Request, caller: protocol.CallerConnection
+        request: incoming.Request, caller: protocol.CallerConnection
     ) -> None:
         if layer == "decision":
             now = time.monotonic()
--- a/berylweir/router/ingress/exchange.py
+++ b/berylweir/router/ingress/exchange.py
@@ -13,6 +13,7 @@
 from berylweir.router.backends import exceptions as backend_exceptions
 from berylweir.router.ingress import decisions
 from berylweir.router.ingress import exceptions
+from berylweir.router.ingress import incoming
 from berylweir.router.ingress import models
 from berylweir.router.ingress import protocol
 
@@ -28,7 +29,7 @@
     def __init__(
         self,
         head: models.Head,
-        request: protocol.Request,
+        request: incoming.Request,
         limits: models.Limits,
         max_prefetched_bytes: int,
     ) -> None:
--- a/berylweir/router/ingress/forwarding.py
+++ b/berylweir/router/ingress/forwarding.py
@@ -23,6 +23,7 @@
 from berylweir.router.backends import peers as peer_pools
 from berylweir.router.ingress import decisions
 from berylweir.router.ingress import exchange
+from berylweir.router.ingress import incoming
 from berylweir.router.ingress import models
 from berylweir.router.ingress import protocol
 from berylweir.router.table import models as table_models
@@ -109,14 +110,14 @@
         await self._idle.wait()
 
     async def serve_caller(
-        self, request: protocol.Request, caller: protocol.CallerConnection
+        self, request: incoming.Request, caller: protocol.CallerConnection
     ) -> None:
         """Serves a request of a caller."""
         self._metrics.count("router.requests")
         await self._track_in_flight(self._serve_caller, request, caller)
 
     async def serve_peer(
-        self, request: protocol.Request, caller: protocol.CallerConnection
+        self, request: incoming.Request, caller: protocol.CallerConnection
     ) -> None:
         """Serves a request that another router sent to this home."""
         self._metrics.count("router.peer.requests")
@@ -152,10 +153,10 @@
     async def _track_in_flight(
         self,
         serve: Callable[
-            [protocol.Request, protocol.CallerConnection],
+            [incoming.Request, protocol.CallerConnection],
             Awaitable[refusal_models.Refusal | None],
         ],
-        request: protocol.Request,
+        request: incoming.Request,
         caller: protocol.CallerConnection,
     ) -> None:
         self._in_flight += 1
@@ -170,7 +171,7 @@
                 self._idle.set()
 
     async def _serve_caller(
-        self, request: protocol.Request, caller: protocol.CallerConnection
+        self, request: incoming.Request, caller: protocol.CallerConnection
     ) -> refusal_models.Refusal | None:
         match decisions.parse_head(
             request.head,
@@ -311,7 +312,7 @@
                 return await self._run_remote(remote, context)
 
     async def _serve_peer(
-        self, request: protocol.Request, caller: protocol.CallerConnection
+        self, request: incoming.Request, caller: protocol.CallerConnection
     ) -> refusal_models.Refusal | None:
         match decisions.parse_head(
             request.head,
--- a/berylweir/router/ingress/protocol.py
+++ b/berylweir/router/ingress/protocol.py
@@ -14,6 +14,7 @@
 from berylweir.observability import counters
 from berylweir.refusals import models as refusals
 from berylweir.router.ingress import exceptions
+from berylweir.router.ingress import incoming
 from berylweir.router.ingress import models
 from berylweir.transports import lingering
 
@@ -30,97 +31,7 @@
 _BODILESS_STATUSES = frozenset({204, 304})
 
 
-class Request:
-    """A request that is being received: its head and the unread body parts.
-
-    The event loop callbacks of the connection add parts, and the task that
-    serves the connection reads them.
-    """
-
-    def __init__(
-        self, head: models.RawHead, connection: "CallerConnection", now: float
-    ) -> None:
-        """Creates a request without any part of its body.
-
-        Args:
-            head: Head of the request.
-            connection: Connection on which it arrives.
-            now: Time on the clock of the loop, in seconds.
-        """
-        self.head = head
-        self._connection = connection
-        self._parts: collections.deque[bytes] = collections.deque()
-        self._buffered_bytes = 0
-        self._is_complete = False
-        self._failure: refusals.Refusal | None = None
-        self._last_progress_s = now
-        self._has_started_reading = False
-
-    @property
-    def is_complete(self) -> bool:
-        """Whether the whole request was received."""
-        return self._is_complete
-
-    @property
-    def buffered_bytes(self) -> int:
-        """Bytes of the body that were received but not yet read."""
-        return self._buffered_bytes
-
-    @property
-    def last_progress_s(self) -> float:
-        """When the wait for the next part began, on the clock of the loop.
-
-        This is when the last part arrived, when the task began to read, or
-        when reading from the socket was resumed.
-        """
-        return self._last_progress_s
-
-    def feed(self, part: bytes, now: float) -> None:
-        """Adds a part of the body."""
-        self._parts.append(part)
-        self._buffered_bytes += len(part)
-        self._last_progress_s = now
-
-    def reset_progress(self, now: float) -> None:
-        """Restarts the timeout of the next part of the body."""
-        self._last_progress_s = now
-
-    def complete(self) -> None:
-        """Marks the body as complete."""
-        self._is_complete = True
-
-    def fail(self, refusal: refusals.Refusal) -> None:
-        """Makes `read` fail, unless the body is complete."""
-        if not self._is_complete and self._failure is None:
-            self._failure = refusal
-
-    async def read(self) -> bytes:
-        """Waits for the next part of the body and returns it.
-
-        Returns an empty part at the end of the body.
-
-        Raises:
-            RequestIncomplete: If the caller disconnected, was too slow or sent
-                an invalid body.
-        """
-        if not self._has_started_reading:
-            self._has_started_reading = True
-            self._last_progress_s = self._connection.now()
-            if self.head.expects_continue and not self._is_complete:
-                self._connection.write_continue()
-        while not self._parts:
-            if self._is_complete:
-                return b""
-            if self._failure is not None:
-                raise exceptions.RequestIncomplete(self._failure)
-            await self._connection.wait()
-        part = self._parts.popleft()
-        self._buffered_bytes -= len(part)
-        self._connection.on_body_read(self)
-        return part
-
-
-Handler = Callable[[Request, "CallerConnection"], Awaitable[None]]
+Handler = Callable[[incoming.Request, "CallerConnection"], Awaitable[None]]
 
 
 class CallerConnection(asyncio.Protocol):
@@ -161,11 +72,11 @@
         self._transport: asyncio.Transport | None = None
         self._task: asyncio.Task[None] | None = None
         self._waiter: asyncio.Future[None] | None = None
-        self._queue: collections.deque[Request | refusals.Refusal] = (
+        self._queue: collections.deque[incoming.Request | refusals.Refusal] = (
             collections.deque()
         )
-        self._incoming_request: Request | None = None
-        self._current_request: Request | None = None
+        self._incoming_request: incoming.Request | None = None
+        self._current_request: incoming.Request | None = None
         self._target = b""
         self._headers: list[tuple[bytes, bytes]] = []
         self._head_bytes = 0
@@ -199,7 +110,9 @@
         if self._transport is not None:
             total_bytes += self._transport.get_write_buffer_size()
         return total_bytes + sum(
-            r.buffered_bytes for r in self._queue if isinstance(r, Request)
+            r.buffered_bytes
+            for r in self._queue
+            if isinstance(r, incoming.Request)
         )
 
     def now(self) -> float:
@@ -300,7 +213,7 @@
         if self._ignores_input:
             return
         parser = self._parser
-        request = Request(
+        request = incoming.Request(
             models.RawHead(
                 parser.get_method().decode("latin-1"),
                 self._target,
@@ -376,7 +289,7 @@
         finally:
             self._waiter = None
 
-    def on_body_read(self, request: Request) -> None:
+    def on_body_read(self, request: incoming.Request) -> None:
         """Resumes reading from the socket once little is buffered."""
         if self._is_paused and request.buffered_bytes < _RESUME_READING_BYTES:
             self._resume_reading()
@@ -448,7 +361,7 @@
             return b"%x\r\n%b\r\n" % (len(part), part)
         return part
 
-    def _must_close(self, request: Request) -> bool:
+    def _must_close(self, request: incoming.Request) -> bool:
         return (
             self._is_closing
             or self._ignores_input
@@ -476,7 +389,7 @@
             self.abort()
 
     async def _serve_one(
-        self, request_or_refusal: "Request | refusals.Refusal"
+        self, request_or_refusal: incoming.Request | refusals.Refusal
     ) -> bool:
         """Serves a request, or refuses the input with the given refusal.
 
@@ -484,8 +397,8 @@
             Whether the connection may serve another request.
         """
         self._response_started = False
-        if not isinstance(request_or_refusal, Request):
-            self._current_request = Request(
+        if not isinstance(request_or_refusal, incoming.Request):
+            self._current_request = incoming.Request(
                 models.PLACEHOLDER_HEAD, self, self.now()
             )
             await self._refuse(request_or_refusal, self)
--- a/berylweir/router/ingress/task.py
+++ b/berylweir/router/ingress/task.py
@@ -8,6 +8,7 @@
 from berylweir import tls
 from berylweir.observability import counters
 from berylweir.router.ingress import forwarding
+from berylweir.router.ingress import incoming
 from berylweir.router.ingress import models
 from berylweir.router.ingress import protocol
 from berylweir.supervision import models as supervision
@@ -37,7 +38,7 @@
         self._metrics = metrics
 
     async def serve(
-        self, request: protocol.Request, caller: protocol.CallerConnection
+        self, request: incoming.Request, caller: protocol.CallerConnection
     ) -> None:
         """Serves one request."""
         target = request.head.target
