Answer requests that have arrived before the router closes a connection

Callers got no response to requests that had arrived on an idle connection when the router closed it, in a planned stop or at the idle limit. At the idle limit, a request that was read in time was refused as if the router was stopping.

Cause: the decision that a connection is idle used what had been read from it. A request that wasn't read yet was dropped, and so was one whose head arrived in several parts: each part woke the task, which closed the connection since no whole head was there. The start of a head wasn't noticed at all if it arrived with the end of another request.

Change: an idle connection is closed after the event loop had the opportunity to read from it, and no part of a request has arrived. In a planned stop the request is refused as before (shutting-down, not run); at the idle limit it is served, and its response announces the close. This holds with and without TLS.

--- a/berylweir/router/ingress/protocol.py
+++ b/berylweir/router/ingress/protocol.py
@@ -23,6 +23,9 @@
 # resumes below the second.
 _PAUSE_READING_BYTES = 262_144
 _RESUME_READING_BYTES = 65_536
+# Time in which the event loop reads what has arrived before a connection is
+# closed, in seconds.
+_READ_S = 0.01
 _CONTINUE_RESPONSE = b"HTTP/1.1 100 Continue\r\n\r\n"
 _STATUS_LINES = {
     s.value: b"HTTP/1.1 %d %b\r\n" % (s.value, s.phrase.encode())
@@ -84,6 +87,7 @@
         self._is_reading_head = True
         self._ignores_input = False
         self._is_closing = False
+        self._is_stopping = False
         self._has_received_eof = False
         self._is_paused = False
         self._is_writable = True
@@ -195,6 +199,9 @@
         """Starts a request."""
         self._target = b""
         self._headers = []
+        if self._head_started_s is None:
+            # The head began behind the end of another request.
+            self._head_started_s = self.now()
 
     def on_url(self, url: bytes) -> None:
         """Adds a part of the request target."""
@@ -262,7 +269,7 @@
             ):
                 self._stop_input(refusals.SlowSender(limit_s))
         elif not self.is_busy and now - self._idle_since_s > idle_timeout_s:
-            self.begin_close()
+            self._request_close()
 
     def begin_close(self) -> None:
         """Closes the connection once it is idle.
@@ -270,8 +277,13 @@
         The request that is being served ends normally, and later ones are
         refused.
         """
+        self._is_stopping = True
+        self._request_close()
+
+    def _request_close(self) -> None:
+        """Closes the connection once it is idle, unless a request arrives."""
         self._is_closing = True
-        if not self.is_busy and self._head_started_s is None:
+        if not self.is_busy:
             self._wake()
 
     def abort(self) -> None:
@@ -371,15 +383,10 @@
 
     async def _serve(self) -> None:
         try:
-            while True:
-                while not self._queue:
-                    if self._is_closing:
-                        await self._close_lingering()
-                        return
-                    await self.wait()
+            while await self._wait_for_request():
                 if not await self._serve_one(self._queue.popleft()):
-                    await self._close_lingering()
-                    return
+                    break
+            await self._close_lingering()
         except exceptions.ResponseCut:
             self._metrics.count("router.response.cut")
             self.abort()
@@ -388,6 +395,30 @@
             _LOGGER.exception("unhandled error in a request")
             self.abort()
 
+    async def _wait_for_request(self) -> bool:
+        """Returns whether there is one; if not, the connection is closed."""
+        while not self._queue:
+            if self._is_closing and self._head_started_s is None:
+                if await self._is_quiet():
+                    return False
+            else:
+                await self.wait()
+        return True
+
+    async def _is_quiet(self) -> bool:
+        """Returns whether no request has arrived.
+
+        The event loop may not have read from the connection for some time, so
+        it gets the opportunity first.
+        """
+        await asyncio.sleep(_READ_S)
+        return (
+            not self._queue
+            and self._head_started_s is None
+            and self._transport is not None
+            and lingering.count_unread(self._transport) == 0
+        )
+
     async def _serve_one(
         self, request_or_refusal: incoming.Request | refusals.Refusal
     ) -> bool:
@@ -404,7 +435,7 @@
             await self._refuse(request_or_refusal, self)
             return False
         self._current_request = request_or_refusal
-        if self._is_closing:
+        if self._is_stopping:
             await self._refuse(refusals.ShuttingDown(), self)
         else:
             await self._handler(request_or_refusal, self)
--- /dev/null
+++ b/tests/router/test_closing.py
@@ -0,0 +1,169 @@
+"""Tests of how a router closes connections of callers."""
+
+import asyncio
+import contextlib
+import pathlib
+import ssl
+import time
+
+import pytest
+
+from berylweir.observability import counters
+from berylweir.router.backends import peers as peer_pools
+from berylweir.router.backends import pool
+from berylweir.router.ingress import forwarding
+from berylweir.router.ingress import incoming
+from berylweir.router.ingress import models
+from berylweir.router.ingress import protocol
+from tests.router import rig
+
+_CERTIFICATES = pathlib.Path(__file__).parents[1] / "certificates"
+_REQUEST = b"GET / HTTP/1.1\r\nhost: t\r\n\r\n"
+
+
+async def serve(_: incoming.Request, caller: protocol.CallerConnection) -> None:
+    """Responds without a body."""
+    caller.start_response(200, (), b"", is_complete=True)
+
+
+def create_tls_contexts() -> tuple[ssl.SSLContext, ssl.SSLContext]:
+    """Returns the contexts of a router and of its callers."""
+    certificate = _CERTIFICATES / "first.pem"
+    context = ssl.SSLContext(ssl.PROTOCOL_TLS_SERVER)
+    context.load_cert_chain(certificate, _CERTIFICATES / "first.key")
+    return context, ssl.create_default_context(cafile=certificate)
+
+
+@contextlib.asynccontextmanager
+async def open_connection(*, with_tls: bool):
+    """Opens a connection that was used once.
+
+    Yields:
+        The router's end, and the reader and writer of the caller.
+    """
+    metrics = counters.Counters()
+    ingress = forwarding.Ingress(
+        "home",
+        models.Limits(),
+        peer_pools.PeerPools(pool.PoolLimits(1, 1.0, 1.0)),
+        metrics,
+    )
+    connections: set[protocol.CallerConnection] = set()
+    router_context, caller_context = (
+        create_tls_contexts() if with_tls else (None, None)
+    )
+    server = await asyncio.get_running_loop().create_server(
+        lambda: protocol.CallerConnection(
+            serve, ingress.refuse, models.Limits(), connections, metrics
+        ),
+        rig.HOST,
+        0,
+        ssl=router_context,
+    )
+    async with server, asyncio.timeout(rig.WAIT_S):
+        reader, writer = await asyncio.open_connection(
+            *server.sockets[0].getsockname(), ssl=caller_context
+        )
+        try:
+            writer.write(_REQUEST)
+            assert (await rig.read_message(reader)).status == 200
+            (connection,) = connections
+            yield connection, reader, writer
+        finally:
+            writer.transport.abort()
+
+
+def check_idle_limit(connection: protocol.CallerConnection) -> None:
+    """Decides that a connection was idle for too long."""
+    connection.check_progress(connection.now() + 3600.0, 75.0)
+
+
+def block_loop() -> None:
+    """Keeps the event loop from reading, and makes its next timers late."""
+    time.sleep(0.05)
+
+
+async def assert_refused(reader: asyncio.StreamReader) -> None:
+    """Asserts that the last response is the refusal of a planned stop."""
+    refusal = await rig.read_message(reader)
+    assert refusal.status == 503
+    assert refusal.fields["berylweir-refusal"] == "shutting-down"
+    assert refusal.fields["berylweir-outcome"] == "not-run"
+    assert refusal.fields["connection"] == "close"
+    assert await reader.read() == b""
+
+
+@pytest.mark.parametrize("with_tls", [False, True])
+class TestArrivedRequests:
+    """Requests that have arrived when an idle connection is to be closed."""
+
+    async def test_unread_request_is_refused_in_a_planned_stop(self, with_tls):
+        """Guards against dropping a request that waits in the kernel."""
+        async with open_connection(with_tls=with_tls) as (
+            connection,
+            reader,
+            writer,
+        ):
+            writer.write(_REQUEST)
+            connection.begin_close()
+            await assert_refused(reader)
+
+    async def test_request_that_arrives_while_the_loop_is_behind_is_refused(
+        self, with_tls
+    ):
+        """Guards against a close before the event loop has caught up."""
+        async with open_connection(with_tls=with_tls) as (
+            connection,
+            reader,
+            writer,
+        ):
+            connection.begin_close()
+            await asyncio.sleep(0)
+            asyncio.get_running_loop().call_later(0.005, writer.write, _REQUEST)
+            block_loop()
+            await assert_refused(reader)
+
+    async def test_unread_request_is_served_at_the_idle_limit(self, with_tls):
+        """Guards against dropping or refusing a request that crosses it."""
+        async with open_connection(with_tls=with_tls) as (
+            connection,
+            reader,
+            writer,
+        ):
+            writer.write(_REQUEST)
+            check_idle_limit(connection)
+            response = await rig.read_message(reader)
+            assert response.status == 200
+            assert response.fields["connection"] == "close"
+            assert await reader.read() == b""
+
+    async def test_head_in_several_parts_is_refused(self, with_tls):
+        """Guards against a close between the parts of a head."""
+        async with open_connection(with_tls=with_tls) as (
+            connection,
+            reader,
+            writer,
+        ):
+            # The first part arrives together with a whole request.
+            writer.write(_REQUEST + _REQUEST[:5])
+            assert (await rig.read_message(reader)).status == 200
+            connection.begin_close()
+            for part in (_REQUEST[5:10], _REQUEST[10:]):
+                await asyncio.sleep(0.05)
+                writer.write(part)
+            await assert_refused(reader)
+
+    @pytest.mark.parametrize(
+        "decide", [protocol.CallerConnection.begin_close, check_idle_limit]
+    )
+    async def test_connection_without_a_request_is_closed(
+        self, decide, with_tls
+    ):
+        """Guards against a stop that waits for idle connections."""
+        async with open_connection(with_tls=with_tls) as (
+            connection,
+            reader,
+            _,
+        ):
+            decide(connection)
+            assert await reader.read() == b""
