Answer pipelined requests that the router has read before it closes

Callers got no response to whole requests behind the one that was being served: in a planned stop, and when a later request on the connection was invalid or cut. If the stop began after the head of a response was sent, the close wasn't even announced. Neither was the refusal of the invalid request sent.

Cause: a response announced the close without regard to the requests that had been read, and whether to close was decided once more after it.

Change: the decision is made once, with the head of the response. The close is announced by the response to the last request that was received. As before, no request is run after a stop has begun: those behind are refused (shutting-down, not run). Nothing is served behind a request with `connection: close`, with an upgrade or with an incomplete body.

test_pipelined_request_is_not_run asserted the close on the first response, which left the second request without one. HTTP allows that, but a caller that doesn't repeat requests loses it. The test now asserts that the second one is refused, says that it didn't run and announces the close; that it is run by nobody is asserted as before.

Evidence: TestPipelinedRequests, three of four tests failed before, and so did test_pipelined_request_is_not_run in its new form.

--- a/berylweir/router/ingress/protocol.py
+++ b/berylweir/router/ingress/protocol.py
@@ -92,6 +92,7 @@
         self._is_paused = False
         self._is_writable = True
         self._response_started = False
+        self._announces_close = False
         self._is_chunked = False
         self._idle_since_s = 0.0
 
@@ -348,7 +349,8 @@
             self._is_chunked = False
         elif self._is_chunked:
             lines.append(b"transfer-encoding: chunked\r\n")
-        if self._must_close(request):
+        self._announces_close = self._is_last(request)
+        if self._announces_close:
             lines.append(b"connection: close\r\n")
         lines.append(b"\r\n")
         if body and not is_bodiless:
@@ -373,12 +375,17 @@
             return b"%x\r\n%b\r\n" % (len(part), part)
         return part
 
-    def _must_close(self, request: incoming.Request) -> bool:
+    def _is_last(self, request: incoming.Request) -> bool:
+        """Returns whether the connection closes behind the response."""
         return (
-            self._is_closing
-            or self._ignores_input
-            or not request.head.keep_alive
+            not request.head.keep_alive
+            or request.head.wants_upgrade
             or not request.is_complete
+            or (
+                self._is_closing
+                and not self._queue
+                and self._head_started_s is None
+            )
         )
 
     async def _serve(self) -> None:
@@ -439,7 +446,7 @@
             await self._refuse(refusals.ShuttingDown(), self)
         else:
             await self._handler(request_or_refusal, self)
-        if self._must_close(request_or_refusal):
+        if self._announces_close:
             return False
         self._current_request = None
         self._idle_since_s = self.now()
--- a/tests/router/test_closing.py
+++ b/tests/router/test_closing.py
@@ -167,3 +167,85 @@
         ):
             decide(connection)
             assert await reader.read() == b""
+
+
+class TestPipelinedRequests:
+    """Whole requests that were read before the response that closes."""
+
+    async def test_request_behind_a_started_response_is_refused(self):
+        """Guards against a close that the response didn't announce."""
+        gate = asyncio.Event()
+
+        async def script(stream: rig.Stream) -> None:
+            await stream.next_request()
+            stream.writer.write(
+                b"HTTP/1.1 200 OK\r\ncontent-length: 4\r\n\r\nab"
+            )
+            await gate.wait()
+            stream.writer.write(b"cd")
+            await stream.reader.read()
+
+        async with (
+            rig.Rig(script) as harness,
+            asyncio.timeout(rig.WAIT_S),
+            rig.open_caller_connection(harness.home.port) as (reader, writer),
+        ):
+            writer.write(rig.request())
+            response = await rig.read_head(reader)
+            assert "connection" not in response.fields
+            (connection,) = harness.home.callers._connections
+            connection.begin_close()
+            writer.write(rig.request())
+            await rig.wait_until(lambda: bool(connection._queue))
+            gate.set()
+            assert await reader.readexactly(4) == b"abcd"
+            await assert_refused(reader)
+
+    async def test_request_ahead_of_an_invalid_one_is_served(self):
+        """Guards against dropping requests because a later one is invalid."""
+        async with open_connection(with_tls=False) as (_, reader, writer):
+            writer.write(_REQUEST * 3 + b"no request\r\n\r\n")
+            for _ in range(3):
+                response = await rig.read_message(reader)
+                assert response.status == 200
+                assert "connection" not in response.fields
+            refusal = await rig.read_message(reader)
+            assert refusal.status == 400
+            assert refusal.fields["connection"] == "close"
+            assert await reader.read() == b""
+
+    async def test_request_ahead_of_one_that_is_cut_is_served(self):
+        """Guards against dropping requests because a later one is cut."""
+        gate = asyncio.Event()
+
+        async def script(stream: rig.Stream) -> None:
+            while True:
+                await stream.next_request()
+                await gate.wait()
+                stream.respond(b"whole")
+
+        async with (
+            rig.Rig(script) as harness,
+            asyncio.timeout(rig.WAIT_S),
+            rig.open_caller_connection(harness.home.port) as (reader, writer),
+        ):
+            writer.write(rig.request())
+            await rig.wait_until(lambda: bool(harness.streams))
+            writer.write(rig.request() + rig.request()[:20])
+            writer.write_eof()
+            (connection,) = harness.home.callers._connections
+            await rig.wait_until(lambda: connection._has_received_eof)
+            gate.set()
+            for _ in range(2):
+                assert (await rig.read_message(reader)).body == b"whole"
+            assert (await rig.read_message(reader)).status == 400
+            assert await reader.read() == b""
+
+    async def test_request_behind_an_announced_close_is_dropped(self):
+        """Guards against serving requests that count as not received."""
+        async with open_connection(with_tls=False) as (_, reader, writer):
+            last = _REQUEST.replace(b"host", b"connection: close\r\nhost")
+            writer.write(last + _REQUEST)
+            response = await rig.read_message(reader)
+            assert response.fields["connection"] == "close"
+            assert await reader.read() == b""
--- a/tests/router/test_shutdown.py
+++ b/tests/router/test_shutdown.py
@@ -99,9 +99,14 @@
             gate.set()
             response = await rig.read_message(reader)
             assert response.body == b"whole"
+            assert "connection" not in response.fields
+            refusal = await rig.read_message(reader)
+            assert refusal.status == 503
+            assert refusal.fields["berylweir-refusal"] == "shutting-down"
+            assert refusal.fields["berylweir-outcome"] == "not-run"
             # According to HTTP, requests that follow on a connection after
             # this header are not processed.
-            assert response.fields["connection"] == "close"
+            assert refusal.fields["connection"] == "close"
             assert await reader.read() == b""
             assert runs == 1
             await stopping
