Serve TLS connections until their last response is received

A caller with TLS got no response to a request that it sent on an idle connection after the router had decided to close it, although nothing had told it of that.

Cause: one direction of TLS can't be ended. While a part of the last response wasn't acknowledged, `lingering.close` waited before it closed the connection, for 1 s or longer, and requests that arrived meanwhile were read and dropped. Without TLS the end of the data tells the caller.

Change: an idle TLS connection is closed once all data is acknowledged, and requests that arrive before are answered. A caller that doesn't read delays this by 15 s at most after its last response; then it is as before.

Evidence: test_request_behind_one_is_refused_with_tls, which failed before.

--- a/berylweir/router/ingress/protocol.py
+++ b/berylweir/router/ingress/protocol.py
@@ -26,6 +26,9 @@
 # Time in which the event loop reads what has arrived before a connection is
 # closed, in seconds.
 _READ_S = 0.01
+# Longest time after a response for which its delivery delays the close of an
+# idle TLS connection, in seconds.
+_MAX_DELIVERY_S = 15.0
 _CONTINUE_RESPONSE = b"HTTP/1.1 100 Continue\r\n\r\n"
 _STATUS_LINES = {
     s.value: b"HTTP/1.1 %d %b\r\n" % (s.value, s.phrase.encode())
@@ -424,6 +427,19 @@
             and self._head_started_s is None
             and self._transport is not None
             and lingering.count_unread(self._transport) == 0
+            and self._can_end(self._transport)
+        )
+
+    def _can_end(self, transport: asyncio.Transport) -> bool:
+        """Returns whether the caller can be told of the close at once.
+
+        TLS is closed only once all data is acknowledged. Requests that the
+        caller sends until then have to be answered.
+        """
+        return (
+            transport.can_write_eof()
+            or lingering.count_unacknowledged(transport) == 0
+            or self.now() - self._idle_since_s > _MAX_DELIVERY_S
         )
 
     async def _serve_one(
--- a/tests/router/test_closing.py
+++ b/tests/router/test_closing.py
@@ -3,6 +3,7 @@
 import asyncio
 import contextlib
 import pathlib
+import socket
 import ssl
 import time
 
@@ -15,15 +16,23 @@
 from berylweir.router.ingress import incoming
 from berylweir.router.ingress import models
 from berylweir.router.ingress import protocol
+from berylweir.transports import lingering
 from tests.router import rig
 
 _CERTIFICATES = pathlib.Path(__file__).parents[1] / "certificates"
 _REQUEST = b"GET / HTTP/1.1\r\nhost: t\r\n\r\n"
+_LARGE_REQUEST = b"GET /large HTTP/1.1\r\nhost: t\r\n\r\n"
+_BODY = bytes(900_000)
+# Smaller than the body, so that the rest waits in the kernel of the router.
+_RECEIVE_BUFFER_BYTES = 16_384
 
 
-async def serve(_: incoming.Request, caller: protocol.CallerConnection) -> None:
-    """Responds without a body."""
-    caller.start_response(200, (), b"", is_complete=True)
+async def serve(
+    request: incoming.Request, caller: protocol.CallerConnection
+) -> None:
+    """Responds, with `_BODY` if the target says so."""
+    body = _BODY if request.head.target == b"/large" else b""
+    caller.start_response(200, (), body, is_complete=True)
 
 
 def create_tls_contexts() -> tuple[ssl.SSLContext, ssl.SSLContext]:
@@ -52,7 +61,8 @@
     router_context, caller_context = (
         create_tls_contexts() if with_tls else (None, None)
     )
-    server = await asyncio.get_running_loop().create_server(
+    loop = asyncio.get_running_loop()
+    server = await loop.create_server(
         lambda: protocol.CallerConnection(
             serve, ingress.refuse, models.Limits(), connections, metrics
         ),
@@ -60,9 +70,19 @@
         0,
         ssl=router_context,
     )
+    caller = socket.socket()
+    caller.setsockopt(
+        socket.SOL_SOCKET, socket.SO_RCVBUF, _RECEIVE_BUFFER_BYTES
+    )
+    caller.setblocking(False)
     async with server, asyncio.timeout(rig.WAIT_S):
+        await loop.sock_connect(caller, server.sockets[0].getsockname())
+        # A small limit, so that bytes stay in the socket until they are read.
         reader, writer = await asyncio.open_connection(
-            *server.sockets[0].getsockname(), ssl=caller_context
+            sock=caller,
+            ssl=caller_context,
+            server_hostname=rig.HOST if with_tls else None,
+            limit=1024,
         )
         try:
             writer.write(_REQUEST)
@@ -83,6 +103,19 @@
     time.sleep(0.05)
 
 
+async def send_large_request(
+    connection: protocol.CallerConnection, writer: asyncio.StreamWriter
+) -> None:
+    """Sends a request, and waits until the response is on its way."""
+    writer.write(_LARGE_REQUEST)
+    await rig.wait_until(
+        lambda: (
+            lingering.count_unacknowledged(connection._transport)
+            > _RECEIVE_BUFFER_BYTES
+        )
+    )
+
+
 async def assert_refused(reader: asyncio.StreamReader) -> None:
     """Asserts that the last response is the refusal of a planned stop."""
     refusal = await rig.read_message(reader)
@@ -249,3 +282,51 @@
             response = await rig.read_message(reader)
             assert response.fields["connection"] == "close"
             assert await reader.read() == b""
+
+
+class TestUnacknowledgedResponses:
+    """Idle connections whose last response is on its way to the caller.
+
+    The end of TLS can't be announced behind it.
+    """
+
+    async def test_request_behind_one_is_refused_with_tls(self):
+        """Guards against dropping requests of a caller that isn't told."""
+        async with open_connection(with_tls=True) as (
+            connection,
+            reader,
+            writer,
+        ):
+            await send_large_request(connection, writer)
+            connection.begin_close()
+            await asyncio.sleep(0.1)
+            writer.write(_REQUEST)
+            response = await rig.read_message(reader)
+            assert response.body == _BODY
+            assert "connection" not in response.fields
+            await assert_refused(reader)
+
+    async def test_connection_is_closed_once_it_is_received(self):
+        """Guards against a stop that waits for idle connections."""
+        async with open_connection(with_tls=True) as (
+            connection,
+            reader,
+            writer,
+        ):
+            await send_large_request(connection, writer)
+            connection.begin_close()
+            assert (await rig.read_message(reader)).body == _BODY
+            assert await reader.read() == b""
+
+    async def test_connection_is_closed_if_it_is_never_received(
+        self, monkeypatch
+    ):
+        """Guards against callers that hold up a stop by not reading."""
+        monkeypatch.setattr(protocol, "_MAX_DELIVERY_S", 0.1)
+        monkeypatch.setattr(lingering, "_STALLED_LINGER_S", 0.1)
+        async with open_connection(with_tls=True) as (connection, _, writer):
+            await send_large_request(connection, writer)
+            connection.begin_close()
+            await rig.wait_until(
+                lambda: connection not in connection._connections
+            )
