--- a/berylweir/router/ingress/protocol.py
+++ b/berylweir/router/ingress/protocol.py
@@ -14,6 +14,7 @@
 from berylweir.observability import counters
 from berylweir.refusals import models as refusals
 from berylweir.router.ingress import exceptions
+from berylweir.router.ingress import incoming
 from berylweir.router.ingress import models
 from berylweir.transports import lingering
 
@@ -22,6 +23,12 @@
 # resumes below the second.
 _PAUSE_READING_BYTES = 262_144
 _RESUME_READING_BYTES = 65_536
+# Time in which the event loop reads what has arrived before a connection is
+# closed, in seconds.
+_READ_S = 0.01
+# Longest time after a response for which its delivery delays the close of an
+# idle TLS connection, in seconds.
+_MAX_DELIVERY_S = 15.0
 _CONTINUE_RESPONSE = b"HTTP/1.1 100 Continue\r\n\r\n"
 _STATUS_LINES = {
     s.value: b"HTTP/1.1 %d %b\r\n" % (s.value, s.phrase.encode())
@@ -30,97 +37,7 @@
 _BODILESS_STATUSES = frozenset({204, 304})
 
 
-class Request:
-    """A request that is being received: its head and the unread body parts.
-
-    The event loop callbacks of the connection add parts, and the task that
-    serves the connection reads them.
-    """
-
-    def __init__(
-        self, head: models.RawHead, connection: "CallerConnection", now: float
-    ) -> None:
-        """Creates a request without any part of its body.
-
-        Args:
-            head: Head of the request.
-            connection: Connection on which it arrives.
-            now: Time on the clock of the loop, in seconds.
-        """
-        self.head = head
-        self._connection = connection
-        self._parts: collections.deque[bytes] = collections.deque()
-        self._buffered_bytes = 0
-        self._is_complete = False
-        self._failure: refusals.Refusal | None = None
-        self._last_progress_s = now
-        self._has_started_reading = False
-
-    @property
-    def is_complete(self) -> bool:
-        """Whether the whole request was received."""
-        return self._is_complete
-
-    @property
-    def buffered_bytes(self) -> int:
-        """Bytes of the body that were received but not yet read."""
-        return self._buffered_bytes
-
-    @property
-    def last_progress_s(self) -> float:
-        """When the wait for the next part began, on the clock of the loop.
-
-        This is when the last part arrived, when the task began to read, or
-        when reading from the socket was resumed.
-        """
-        return self._last_progress_s
-
-    def feed(self, part: bytes, now: float) -> None:
-        """Adds a part of the body."""
-        self._parts.append(part)
-        self._buffered_bytes += len(part)
-        self._last_progress_s = now
-
-    def reset_progress(self, now: float) -> None:
-        """Restarts the timeout of the next part of the body."""
-        self._last_progress_s = now
-
-    def complete(self) -> None:
-        """Marks the body as complete."""
-        self._is_complete = True
-
-    def fail(self, refusal: refusals.Refusal) -> None:
-        """Makes `read` fail, unless the body is complete."""
-        if not self._is_complete and self._failure is None:
-            self._failure = refusal
-
-    async def read(self) -> bytes:
-        """Waits for the next part of the body and returns it.
-
-        Returns an empty part at the end of the body.
-
-        Raises:
-            RequestIncomplete: If the caller disconnected, was too slow or sent
-                an invalid body.
-        """
-        if not self._has_started_reading:
-            self._has_started_reading = True
-            self._last_progress_s = self._connection.now()
-            if self.head.expects_continue and not self._is_complete:
-                self._connection.write_continue()
-        while not self._parts:
-            if self._is_complete:
-                return b""
-            if self._failure is not None:
-                raise exceptions.RequestIncomplete(self._failure)
-            await self._connection.wait()
-        part = self._parts.popleft()
-        self._buffered_bytes -= len(part)
-        self._connection.on_body_read(self)
-        return part
-
-
-Handler = Callable[[Request, "CallerConnection"], Awaitable[None]]
+Handler = Callable[[incoming.Request, "CallerConnection"], Awaitable[None]]
 
 
 class CallerConnection(asyncio.Protocol):
@@ -161,11 +78,11 @@
         self._transport: asyncio.Transport | None = None
         self._task: asyncio.Task[None] | None = None
         self._waiter: asyncio.Future[None] | None = None
-        self._queue: collections.deque[Request | refusals.Refusal] = (
+        self._queue: collections.deque[incoming.Request | refusals.Refusal] = (
             collections.deque()
         )
-        self._incoming_request: Request | None = None
-        self._current_request: Request | None = None
+        self._incoming_request: incoming.Request | None = None
+        self._current_request: incoming.Request | None = None
         self._target = b""
         self._headers: list[tuple[bytes, bytes]] = []
         self._head_bytes = 0
@@ -173,10 +90,12 @@
         self._is_reading_head = True
         self._ignores_input = False
         self._is_closing = False
+        self._is_stopping = False
         self._has_received_eof = False
         self._is_paused = False
         self._is_writable = True
         self._response_started = False
+        self._announces_close = False
         self._is_chunked = False
         self._idle_since_s = 0.0
 
@@ -199,7 +118,9 @@
         if self._transport is not None:
             total_bytes += self._transport.get_write_buffer_size()
         return total_bytes + sum(
-            r.buffered_bytes for r in self._queue if isinstance(r, Request)
+            r.buffered_bytes
+            for r in self._queue
+            if isinstance(r, incoming.Request)
         )
 
     def now(self) -> float:
@@ -282,6 +203,9 @@
         """Starts a request."""
         self._target = b""
         self._headers = []
+        if self._head_started_s is None:
+            # The head began behind the end of another request.
+            self._head_started_s = self.now()
 
     def on_url(self, url: bytes) -> None:
         """Adds a part of the request target."""
@@ -300,7 +224,7 @@
         if self._ignores_input:
             return
         parser = self._parser
-        request = Request(
+        request = incoming.Request(
             models.RawHead(
                 parser.get_method().decode("latin-1"),
                 self._target,
@@ -349,7 +273,7 @@
             ):
                 self._stop_input(refusals.SlowSender(limit_s))
         elif not self.is_busy and now - self._idle_since_s > idle_timeout_s:
-            self.begin_close()
+            self._request_close()
 
     def begin_close(self) -> None:
         """Closes the connection once it is idle.
@@ -357,8 +281,13 @@
         The request that is being served ends normally, and later ones are
         refused.
         """
+        self._is_stopping = True
+        self._request_close()
+
+    def _request_close(self) -> None:
+        """Closes the connection once it is idle, unless a request arrives."""
         self._is_closing = True
-        if not self.is_busy and self._head_started_s is None:
+        if not self.is_busy:
             self._wake()
 
     def abort(self) -> None:
@@ -376,7 +305,7 @@
         finally:
             self._waiter = None
 
-    def on_body_read(self, request: Request) -> None:
+    def on_body_read(self, request: incoming.Request) -> None:
         """Resumes reading from the socket once little is buffered."""
         if self._is_paused and request.buffered_bytes < _RESUME_READING_BYTES:
             self._resume_reading()
@@ -423,7 +352,8 @@
             self._is_chunked = False
         elif self._is_chunked:
             lines.append(b"transfer-encoding: chunked\r\n")
-        if self._must_close(request):
+        self._announces_close = self._is_last(request)
+        if self._announces_close:
             lines.append(b"connection: close\r\n")
         lines.append(b"\r\n")
         if body and not is_bodiless:
@@ -448,25 +378,25 @@
             return b"%x\r\n%b\r\n" % (len(part), part)
         return part
 
-    def _must_close(self, request: Request) -> bool:
+    def _is_last(self, request: incoming.Request) -> bool:
+        """Returns whether the connection closes behind the response."""
         return (
-            self._is_closing
-            or self._ignores_input
-            or not request.head.keep_alive
+            not request.head.keep_alive
+            or request.head.wants_upgrade
             or not request.is_complete
+            or (
+                self._is_closing
+                and not self._queue
+                and self._head_started_s is None
+            )
         )
 
     async def _serve(self) -> None:
         try:
-            while True:
-                while not self._queue:
-                    if self._is_closing:
-                        await self._close_lingering()
-                        return
-                    await self.wait()
+            while await self._wait_for_request():
                 if not await self._serve_one(self._queue.popleft()):
-                    await self._close_lingering()
-                    return
+                    break
+            await self._close_lingering()
         except exceptions.ResponseCut:
             self._metrics.count("router.response.cut")
             self.abort()
@@ -475,8 +405,45 @@
             _LOGGER.exception("unhandled error in a request")
             self.abort()
 
+    async def _wait_for_request(self) -> bool:
+        """Returns whether there is one; if not, the connection is closed."""
+        while not self._queue:
+            if self._is_closing and self._head_started_s is None:
+                if await self._is_quiet():
+                    return False
+            else:
+                await self.wait()
+        return True
+
+    async def _is_quiet(self) -> bool:
+        """Returns whether no request has arrived.
+
+        The event loop may not have read from the connection for some time, so
+        it gets the opportunity first.
+        """
+        await asyncio.sleep(_READ_S)
+        return (
+            not self._queue
+            and self._head_started_s is None
+            and self._transport is not None
+            and lingering.count_unread(self._transport) == 0
+            and self._can_end(self._transport)
+        )
+
+    def _can_end(self, transport: asyncio.Transport) -> bool:
+        """Returns whether the caller can be told of the close at once.
+
+        TLS is closed only once all data is acknowledged. Requests that the
+        caller sends until then have to be answered.
+        """
+        return (
+            transport.can_write_eof()
+            or lingering.count_unacknowledged(transport) == 0
+            or self.now() - self._idle_since_s > _MAX_DELIVERY_S
+        )
+
     async def _serve_one(
-        self, request_or_refusal: "Request | refusals.Refusal"
+        self, request_or_refusal: incoming.Request | refusals.Refusal
     ) -> bool:
         """Serves a request, or refuses the input with the given refusal.
 
@@ -484,18 +451,18 @@
             Whether the connection may serve another request.
         """
         self._response_started = False
-        if not isinstance(request_or_refusal, Request):
-            self._current_request = Request(
+        if not isinstance(request_or_refusal, incoming.Request):
+            self._current_request = incoming.Request(
                 models.PLACEHOLDER_HEAD, self, self.now()
             )
             await self._refuse(request_or_refusal, self)
             return False
         self._current_request = request_or_refusal
-        if self._is_closing:
+        if self._is_stopping:
             await self._refuse(refusals.ShuttingDown(), self)
         else:
             await self._handler(request_or_refusal, self)
-        if self._must_close(request_or_refusal):
+        if self._announces_close:
             return False
         self._current_request = None
         self._idle_since_s = self.now()
