Order the dispatcher's key tables by epoch first

The dispatcher took the table with the higher revision. Revisions are given out again once the store was restored from a copy, so that a table of an earlier holder could replace its successor's, or keep it out. It now compares models.TableOrder, as the cache, the keeper and the publisher do.

Before the change, both new tests of tests/gateway/dispatch/test_deployment.py failed: test_table_of_a_later_epoch_at_a_lower_revision_is_ignored and test_table_of_an_earlier_epoch_at_a_higher_revision_replaces.

--- a/berylweir/gateway/dispatch/deployment.py
+++ b/berylweir/gateway/dispatch/deployment.py
@@ -91,7 +91,7 @@
     def update_key_table(self, table: models.KeyTable) -> None:
         """Replaces the key table of a group if the given one is newer."""
         known = self._tables.get(table.group)
-        if known is not None and known.revision >= table.revision:
+        if known is not None and known.order >= table.order:
             return
         self._tables[table.group] = table
         group = self._groups.get(table.group)
--- a/tests/gateway/dispatch/test_deployment.py
+++ b/tests/gateway/dispatch/test_deployment.py
@@ -14,9 +14,9 @@
     )
 
 
-def table(revision: int) -> models.KeyTable:
+def table(revision: int, epoch: int = 1) -> models.KeyTable:
     """Returns a key table of the group."""
-    return models.KeyTable(_GROUP.name, revision, 1, 2, ())
+    return models.KeyTable(_GROUP.name, revision, epoch, 2, ())
 
 
 class TestKeyTables:
@@ -48,3 +48,26 @@
         assert known.groups["slots"].table == table(7)
         known.update_key_table(table(8))
         assert known.groups["slots"].table == table(8)
+
+    def test_table_of_a_later_epoch_at_a_lower_revision_is_ignored(self):
+        """Guards against the owners of a holder that was replaced.
+
+        Revisions are given out again once the store was restored from a copy.
+        """
+        known = self.create()
+        known.apply_configuration(configuration(_GROUP))
+        known.update_key_table(table(50, epoch=1))
+        known.update_key_table(table(10, epoch=2))
+        assert known.groups["slots"].table == table(10, epoch=2)
+
+    def test_table_of_an_earlier_epoch_at_a_higher_revision_replaces(self):
+        """Guards against a table that an earlier holder wrote later.
+
+        It may do so in a restored store before it has learned of its
+        successor.
+        """
+        known = self.create()
+        known.apply_configuration(configuration(_GROUP))
+        known.update_key_table(table(10, epoch=2))
+        known.update_key_table(table(50, epoch=1))
+        assert known.groups["slots"].table == table(10, epoch=2)
