Name the epoch of the table to which a diff applies

The publisher and the receivers of diffs of key tables told the base of a diff by its revision. A restored store gives out revisions again, and a holder that hasn't learned of the restoration writes its table there under its old epoch. A gateway that had read that table applied its successor's diff to it if the numbers were equal, and had owners of both under the successor's order, so that no later read corrected them.

PublishTableChanges states the epoch of the base as well, and receivers ignore a diff of another table. The publisher compares the epoch that a status states and sends the whole table if it differs. Builds that state no epoch are still compared by the revision.

--- a/berylweir/gateway/ownership/table_publisher.py
+++ b/berylweir/gateway/ownership/table_publisher.py
@@ -29,6 +29,25 @@
 _MAX_EARLIER_TABLES = 64
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class _KnownTable:
+    """The table that a gateway has.
+
+    Attributes:
+        revision: Its revision; 0 if the gateway has none.
+        epoch: Its epoch; None if the gateway's build doesn't state it.
+    """
+
+    revision: int
+    epoch: int | None
+
+    def is_same(self, table: models.KeyTable) -> bool:
+        """Returns whether it is a given table, as far as is known."""
+        return self.revision == table.revision and (
+            self.epoch is None or self.epoch == table.epoch
+        )
+
+
 @dataclasses.dataclass(slots=True)
 class _PublishedTable:
     """The newest table of a group and the encoded messages that send it.
@@ -51,27 +70,30 @@
     )
 
     @property
-    def previous_revision(self) -> int:
-        """Revision of the table before this one; 0 if there is none."""
-        return next(reversed(self.earlier_tables), 0)
+    def previous(self) -> _KnownTable:
+        """The table before this one."""
+        if not self.earlier_tables:
+            return _KnownTable(0, None)
+        table = self.earlier_tables[next(reversed(self.earlier_tables))]
+        return _KnownTable(table.revision, table.epoch)
 
     def build_request(
-        self, known_revision: int
+        self, known: _KnownTable
     ) -> peers.PublishTable | peers.PublishTableChanges:
         """Returns the message that brings a gateway the newest table.
 
         Args:
-            known_revision: Revision of the table that the gateway has.
+            known: The table that the gateway has.
 
         Returns:
-            The diff from that revision if it is kept, else the whole table.
+            The diff from that table if it is kept, else the whole table.
         """
-        base = self.earlier_tables.get(known_revision)
-        if base is None:
+        base = self.earlier_tables.get(known.revision)
+        if base is None or not known.is_same(base):
             if self.encoded_table is None:
                 self.encoded_table = codec.encode_objects([self.stored_table])
             return peers.PublishTable(self.encoded_table)
-        if known_revision not in self.encoded_diffs:
+        if base.revision not in self.encoded_diffs:
             table_diff = tables.diff(base, self.table)
             spec = msgspec.Raw(objects.encode_table(table_diff))
             diff_object = store.build_stored_object(
@@ -80,11 +102,11 @@
                 spec,
                 self.stored_table.status,
             )
-            self.encoded_diffs[known_revision] = codec.encode_objects(
+            self.encoded_diffs[base.revision] = codec.encode_objects(
                 [diff_object]
             )
         return peers.PublishTableChanges(
-            known_revision, self.encoded_diffs[known_revision]
+            base.revision, self.encoded_diffs[base.revision], base.epoch
         )
 
 
@@ -166,7 +188,7 @@
 
     async def _send_updates(self, vm: models.Vm) -> None:
         """Keeps one gateway up to date until the task is cancelled."""
-        known_revisions: dict[str, int] = {}
+        known_tables: dict[str, _KnownTable] = {}
         pause_s = _RETRY_S
         has_updates = self._has_updates[vm]
         while True:
@@ -175,7 +197,7 @@
             all_received = True
             for name in list(self._tables):
                 all_received = (
-                    await self._send_table(vm, name, known_revisions)
+                    await self._send_table(vm, name, known_tables)
                     and all_received
                 )
             if all_received:
@@ -186,24 +208,27 @@
                 pause_s = min(_MAX_RETRY_S, 2.0 * pause_s)
 
     async def _send_table(
-        self, vm: models.Vm, name: str, known_revisions: dict[str, int]
+        self, vm: models.Vm, name: str, known_tables: dict[str, _KnownTable]
     ) -> bool:
         """Sends one table; returns whether the gateway has it."""
         while (latest := self._tables.get(name)) is not None:
-            known_revision = known_revisions.get(name, latest.previous_revision)
-            if known_revision == latest.table.revision:
+            known = known_tables.get(name, latest.previous)
+            if known.is_same(latest.table):
                 return True
-            request = latest.build_request(known_revision)
+            request = latest.build_request(known)
             match await self._client.ask(vm, request):
                 case result.Ok(peers.GatewayStatus() as status):
                     # If the diff didn't apply, the status still says which
-                    # revision the gateway has; the next request builds on it.
-                    known_revisions[name] = status.tables.get(name, 0)
+                    # table the gateway has; the next request builds on it.
+                    known_tables[name] = _KnownTable(
+                        status.tables.get(name, 0),
+                        status.table_epochs.get(name),
+                    )
                     if not table_order.is_older(status, name, latest.table):
                         return True
                     if isinstance(request, peers.PublishTable):
                         return False
                 case _:
-                    known_revisions.pop(name, None)
+                    known_tables.pop(name, None)
                     return False
         return True
--- a/berylweir/gateway/peers/messages.py
+++ b/berylweir/gateway/peers/messages.py
@@ -166,10 +166,13 @@
     Attributes:
         base_revision: Revision of the table that the changes apply to.
         changes: The key table with only the ranges that changed.
+        base_epoch: Epoch of the table that the changes apply to; None in
+            earlier builds.
     """
 
     base_revision: int
     changes: CompressedChanges
+    base_epoch: int | None = None
 
 
 class AcquirePermit(msgspec.Struct, frozen=True, tag="permit"):
--- a/berylweir/gateway/store_cache.py
+++ b/berylweir/gateway/store_cache.py
@@ -195,20 +195,27 @@
                     )
 
     def apply_key_table_changes(
-        self, stored_objects: list[store.StoredObject], base_revision: int
+        self,
+        stored_objects: list[store.StoredObject],
+        base_revision: int,
+        base_epoch: int | None,
     ) -> None:
         """Applies changes to key tables and announces the results.
 
-        Changes to another revision than the known one are ignored.
+        Changes to another table than the known one are ignored.
 
         Args:
             stored_objects: Key tables with only the ranges that changed.
             base_revision: Revision of the tables that the changes apply to.
+            base_epoch: Epoch of these tables; None if it isn't known.
         """
         for stored in stored_objects:
             cached = self._key_tables.get(stored.name)
             if cached is None or cached.revision != base_revision:
                 continue
+            if base_epoch is not None and cached.epoch != base_epoch:
+                # A restored store has given out the revision again.
+                continue
             match objects.decode_table(stored):
                 case result.Ok(changed):
                     table = tables.apply_diff(cached, changed)
--- a/berylweir/gateway/supervisor.py
+++ b/berylweir/gateway/supervisor.py
@@ -184,9 +184,11 @@
             case peer_messages.PublishTable(table):
                 cache.update_key_tables(codec.decode_objects(table))
                 return await keeper.handle_request(request)
-            case peer_messages.PublishTableChanges(base_revision, changed):
+            case peer_messages.PublishTableChanges(
+                base_revision, changed, base_epoch
+            ):
                 cache.apply_key_table_changes(
-                    codec.decode_objects(changed), base_revision
+                    codec.decode_objects(changed), base_revision, base_epoch
                 )
                 return await keeper.handle_request(request)
             case peer_messages.GetObjects(kind):
--- a/tests/gateway/ownership/test_table_publisher.py
+++ b/tests/gateway/ownership/test_table_publisher.py
@@ -53,9 +53,11 @@
         match request:
             case peers.PublishTable(table):
                 self.cache.update_key_tables(codec.decode_objects(table))
-            case peers.PublishTableChanges(base_revision, changes):
+            case peers.PublishTableChanges(base_revision, changes, base_epoch):
                 decoded = codec.decode_objects(changes)
-                self.cache.apply_key_table_changes(decoded, base_revision)
+                self.cache.apply_key_table_changes(
+                    decoded, base_revision, base_epoch
+                )
         orders = self.cache.key_table_orders
         return result.Ok(
             peers.GatewayStatus(
@@ -170,6 +172,35 @@
         await rig.until(functools.partial(gateway.has_table, table))
         publisher.close()
 
+    async def test_a_table_of_another_epoch_is_not_the_base_of_a_diff(self):
+        """Guards against a mix of the tables of two holders.
+
+        An earlier holder wrote a table into a restored store, which gave out
+        the revision of its successor's table again.
+        """
+        gateway, publisher = self.start_publisher()
+        earlier = dataclasses.replace(
+            tables.create("g", _INSTANCES, 1), revision=7
+        )
+        gateway.cache.update_key_tables([stored_table(earlier)])
+        move = ownership.Move(0, 10, _INSTANCES[7])
+        base = dataclasses.replace(
+            tables.start_moves(tables.raise_tokens(earlier, 2), [move]),
+            revision=7,
+        )
+        move = ownership.Move(
+            models.KEY_COUNT - 9, models.KEY_COUNT - 1, move.target
+        )
+        table = dataclasses.replace(
+            tables.start_moves(base, [move]), revision=9
+        )
+        publisher.publish(base, table, stored_table(table))
+        await rig.until(
+            lambda: table.order in gateway.cache.key_table_orders.values()
+        )
+        assert gateway.has_table(table)
+        publisher.close()
+
 
 class TestStoreCache:
     """Diffs that don't apply to the known table."""
@@ -186,7 +217,7 @@
             tables.start_moves(table, [move]), revision=9
         )
         table_diff = stored_table(tables.diff(table, newer))
-        cache.apply_key_table_changes([table_diff], 2)
+        cache.apply_key_table_changes([table_diff], 2, 1)
         assert table_order.revisions(cache.key_table_orders) == {"g": 3}
-        cache.apply_key_table_changes([table_diff], 3)
+        cache.apply_key_table_changes([table_diff], 3, 1)
         assert table_order.revisions(cache.key_table_orders) == {"g": 9}
