Start the epoch again when the keeper is restarted

A crash closes the keeper's grant clients, the granter and the senders of key tables. The supervisor started the keeper again, and it went on holding the lease, but nothing opened these parts before the next change of the servers, the gateways or the lease. All keys expired after 2.5 s, and no table was published.

The keeper now passes the known servers and gateways on when it starts, and acts in its epoch anew: it writes new tokens, and counts itself among the earlier holders, since the record of when its grants expire is lost.

Before the change, the three tests of tests/gateway/ownership/test_task.py failed: no grant, no table and no other owner within 20 s.

--- a/berylweir/gateway/ownership/lease.py
+++ b/berylweir/gateway/ownership/lease.py
@@ -148,6 +148,8 @@
         self._on_holder_status = on_holder_status
         # Epoch of its own for which this gateway has started to act.
         self._acting_epoch = 0
+        # When this gateway last stopped acting in an epoch that it holds.
+        self._suspended_s = float("-inf")
         # Last epoch to whose holder this gateway has started to report.
         self._reported_epoch = 0
         client.subscribe(self._on_store_restored)
@@ -269,6 +271,16 @@
             if was_holder:
                 self._on_lost()
 
+    def restart_epoch(self) -> None:
+        """Has this gateway start its epoch again, if it acts in one.
+
+        It counts among the earlier holders then, as it no longer knows when the
+        grants that it sent expire.
+        """
+        if self._acting_epoch > 0:
+            self._acting_epoch = 0
+            self._suspended_s = clock.boot_s()
+
     async def run(self) -> None:
         """Confirms, monitors or acquires the lease until it is cancelled."""
         while True:
@@ -570,7 +582,9 @@
         predecessors_stop_s = self._acquired_s
         if not is_first:
             predecessors_stop_s += grant_expiry.AUTHORITY_S
-        self._on_acquired(own_lease, predecessors_stop_s)
+        self._on_acquired(
+            own_lease, max(predecessors_stop_s, self._suspended_s)
+        )
         have_resigned = is_first or await self._holder_check.ask_all_to_resign(
             own_lease
         )
--- a/berylweir/gateway/ownership/task.py
+++ b/berylweir/gateway/ownership/task.py
@@ -108,6 +108,7 @@
         self._metrics = metrics
         self._groups: Mapping[str, models.ServerGroup] = {}
         self._servers: Mapping[str, models.BackendServer] = {}
+        self._vms: Mapping[str, models.Vm] = {}
         self._tables: dict[str, models.KeyTable] = {}
         # Revisions for the condition of the next write, if the store has a
         # table at another one than that at which it was written; 0 if it has
@@ -161,6 +162,7 @@
         context.stack.callback(self._lease_client.close)
         context.stack.callback(self._granter.close)
         context.stack.callback(self._publisher.close)
+        self._restore_closed_parts()
         async with contextlib.AsyncExitStack() as stack:
             tasks: list[asyncio.Task[Any]] = [
                 asyncio.create_task(context.stop_event.wait())
@@ -182,6 +184,12 @@
         await asyncio.wait(tasks)
         await self._lease.resign()
 
+    def _restore_closed_parts(self) -> None:
+        """Opens again what an earlier run closed when it crashed."""
+        self._update_servers()
+        self._publisher.update_vms(self._vms)
+        self._lease.restart_epoch()
+
     def report_soon(self) -> None:
         """Has the next report to the lease holder, or balance, made at once."""
         self._lease.report_soon()
@@ -229,6 +237,7 @@
                 case messages.EvacuationsChanged(zones):
                     self._candidates.update_evacuations(zones)
                 case messages.VmsChanged(vms):
+                    self._vms = vms
                     self._lease.update_vms(vms)
                     self._publisher.update_vms(vms)
                 case messages.LeaseChanged(lease):
