Track per range which tokens a keeper's servers accepted

A server counted as fenced against earlier keepers once it had accepted the tokens of all ranges that weren't moving. A move that began before the first grant took its range out of these, so that the source was fenced without ever having been sent the token of the range. An earlier keeper that couldn't be asked to resign could still renew the source's grant after the target had the keys.

The granter now records all ranges that an earlier keeper left as unfenced, until the server has accepted a token for them, in parts as well. A move of an unfenced range waits for the earlier keepers' last grants, even if the source releases it, since a release isn't known to fence. Moves for which the owner's first grant is under way aren't planned, so that no keys are unserved for that time.

--- a/berylweir/gateway/ownership/granting.py
+++ b/berylweir/gateway/ownership/granting.py
@@ -105,14 +105,14 @@
         self._move_tasks: dict[RangeMove, asyncio.Task[None]] = {}
         self._released_moves: set[RangeMove] = set()
         self._completed_moves: set[RangeMove] = set()
-        # Ranges in moves that an earlier keeper started, by source and target
-        # of the move. The earlier keeper may still grant such a range to its
-        # target, or to its source if it got no response when it wrote the move,
-        # until that server has accepted one of this keeper's tokens for it.
+        # Ranges that an earlier keeper may still grant, by their owner and, in
+        # moves that it started, also by the source: the earlier keeper may have
+        # got no response when it wrote the move. A range ends once the server
+        # has accepted one of this keeper's tokens for it.
         self._unfenced_ranges: dict[
             models.ServerInstance, set[tuple[int, int]]
         ] = {}
-        self._inherited_moves_recorded: set[str] = set()
+        self._groups_recorded_as_unfenced: set[str] = set()
         self._is_active = False
 
     def start_epoch(self, predecessors_stop_s: float) -> None:
@@ -127,7 +127,7 @@
             predecessors_stop_s + grant_expiry.max_grant_lifetime_s()
         )
         self._unfenced_ranges.clear()
-        self._inherited_moves_recorded.clear()
+        self._groups_recorded_as_unfenced.clear()
         self._is_active = True
 
     def confirm_predecessors_stopped(self) -> None:
@@ -194,6 +194,20 @@
         """Returns whether no grant of the previous owner is left on a range."""
         return RangeMove(group, key_range) in self._released_moves
 
+    def awaits_first_grant(self, key_range: models.KeyRange) -> bool:
+        """Returns whether a range's owner is about to accept the first grant.
+
+        Until then an earlier keeper may grant it the range as well, and a move
+        of the range would wait for the end of these grants.
+        """
+        owner = key_range.owner
+        return (
+            owner is not None
+            and self._is_unfenced(owner, key_range)
+            and owner in self._clients
+            and self._expiries.for_server(owner).consecutive_failures == 0
+        )
+
     def is_completed(self, group: str, key_range: models.KeyRange) -> bool:
         """Returns whether the new owner of a range has accepted its grant."""
         return RangeMove(group, key_range) in self._completed_moves
@@ -202,7 +216,7 @@
         """Starts and cancels renewals and moves to match a table."""
         if not self._is_active:
             return
-        self._record_inherited_moves(table)
+        self._record_unfenced_ranges(table)
         owners = {r.owner for r in table.ranges if r.previous_owner is None}
         required_renewals = {(table.group, o) for o in owners if o is not None}
         for renewal in [k for k in self._renewal_tasks if k[0] == table.group]:
@@ -227,14 +241,12 @@
             if move not in self._move_tasks:
                 self._move_tasks[move] = asyncio.create_task(self._move(move))
 
-    def _record_inherited_moves(self, table: models.KeyTable) -> None:
-        """Records the unfinished moves of an earlier keeper, once a group."""
-        if table.group in self._inherited_moves_recorded:
+    def _record_unfenced_ranges(self, table: models.KeyTable) -> None:
+        """Records the ranges that an earlier keeper left, once a group."""
+        if table.group in self._groups_recorded_as_unfenced:
             return
-        self._inherited_moves_recorded.add(table.group)
+        self._groups_recorded_as_unfenced.add(table.group)
         for key_range in table.ranges:
-            if key_range.previous_owner is None:
-                continue
             for instance in (key_range.previous_owner, key_range.owner):
                 if instance is not None:
                     self._unfenced_ranges.setdefault(instance, set()).add(
@@ -353,11 +365,7 @@
         match outcome:
             case grants.Accepted():
                 expiry.record_accepted(clock.boot_s())
-                self._unfenced_ranges[instance] = {
-                    (first, last)
-                    for first, last in self._unfenced_ranges.get(instance, ())
-                    if first < key_range.first or last > key_range.last
-                }
+                self._record_fenced(instance, key_range)
                 return True
             case grant_client.NotSent() | grants.Rejected():
                 # A server that took over the address rejects commands that are
@@ -386,6 +394,28 @@
         )
         return False
 
+    def _record_fenced(
+        self, instance: models.ServerInstance, key_range: models.KeyRange
+    ) -> None:
+        """Records that a server rejects earlier grants of a range."""
+        remaining: set[tuple[int, int]] = set()
+        for first, last in self._unfenced_ranges.get(instance, ()):
+            parts = (
+                (first, min(last, key_range.first - 1)),
+                (max(first, key_range.last + 1), last),
+            )
+            remaining.update(part for part in parts if part[0] <= part[1])
+        self._unfenced_ranges[instance] = remaining
+
+    def _is_unfenced(
+        self, instance: models.ServerInstance, key_range: models.KeyRange
+    ) -> bool:
+        """Returns whether an earlier keeper may grant keys of a range."""
+        return any(
+            first <= key_range.last and last >= key_range.first
+            for first, last in self._unfenced_ranges.get(instance, ())
+        )
+
     # Moves
 
     async def _move(self, move: RangeMove) -> None:
@@ -488,10 +518,7 @@
             is_fenced = self._expiries.for_server(
                 source
             ).is_fenced and not self._was_replaced(source)
-        may_be_granted_by_predecessor = any(
-            first <= key_range.last and last >= key_range.first
-            for first, last in self._unfenced_ranges.get(source, ())
-        )
+            may_be_granted_by_predecessor = self._is_unfenced(source, key_range)
         await asyncio.sleep(_PUBLISH_DELAY_S)
 
         def expires_s() -> float:
--- a/berylweir/gateway/ownership/task.py
+++ b/berylweir/gateway/ownership/task.py
@@ -446,10 +446,15 @@
             )
 
     def _can_start(self, table: models.KeyTable, move: ownership.Move) -> bool:
-        """Returns whether no unreleased range is moving in a move's keys."""
+        """Returns whether a move's keys can be released.
+
+        No unreleased range of them may be moving, and no owner may be about to
+        get its first grant.
+        """
         return all(
-            r.previous_owner is None
-            or self._granter.is_released(table.group, r)
+            not self._granter.awaits_first_grant(r)
+            if r.previous_owner is None
+            else self._granter.is_released(table.group, r)
             for r in table.ranges
             if r.first <= move.last and r.last >= move.first
         )
--- a/tests/gateway/ownership/test_granting.py
+++ b/tests/gateway/ownership/test_granting.py
@@ -160,6 +160,96 @@
         assert waited_s < _EARLIER_KEEPER_ACTS_S + grant_expiry.GRANT_DURATION_S
 
 
+class TestMovesBeforeTheFirstGrant:
+    """Moves whose source hasn't accepted this keeper's token for the keys."""
+
+    async def move(self, *, releases: bool) -> float:
+        """Returns when the target of a move is granted its keys.
+
+        The move starts before the source has been granted anything, so that
+        it only accepts grants of its other keys.
+
+        Args:
+            releases: Whether the source accepts the release.
+
+        Returns:
+            The time in seconds, from the start of the epoch.
+        """
+        source, target, _ = _INSTANCES
+        table = tables.raise_tokens(tables.create("g", [source], 1), 2)
+        tables_by_group = {"g": table}
+        servers = {
+            source: FakeServer(range(0) if releases else range(100)),
+            target: FakeServer(range(0)),
+        }
+        granter = create_granter(tables_by_group, servers)
+        started_s = clock.boot_s()
+        granter.start_epoch(started_s + _EARLIER_KEEPER_ACTS_S)
+        granter.apply_table(table)
+        moving = tables.start_moves(table, [ownership.Move(0, 99, target)])
+        tables_by_group["g"] = dataclasses.replace(moving, revision=2)
+        granter.apply_table(tables_by_group["g"])
+        async with asyncio.timeout(30.0):
+            while 0 not in servers[target].granted_s:
+                await asyncio.sleep(0.01)
+        granter.close()
+        assert list(servers[source].granted_s) == [100]
+        return servers[target].granted_s[0] - started_s
+
+    async def test_released_keys_wait_for_an_earlier_keeper(self):
+        """Guards against a source that an earlier keeper grants keys again."""
+        waited_s = await self.move(releases=True)
+        assert (
+            waited_s >= _EARLIER_KEEPER_ACTS_S + grant_expiry.GRANT_DURATION_S
+        )
+
+    async def test_unreleased_keys_wait_for_an_earlier_keeper(self):
+        """Guards against a source that is taken for fenced by other keys."""
+        waited_s = await self.move(releases=False)
+        assert (
+            waited_s >= _EARLIER_KEEPER_ACTS_S + grant_expiry.GRANT_DURATION_S
+        )
+
+    async def test_accepted_part_does_not_wait(self):
+        """Guards against a wait for keys whose new token was accepted."""
+        source, target, _ = _INSTANCES
+        table = tables.raise_tokens(tables.create("g", [source], 1), 2)
+        tables_by_group = {"g": table}
+        servers = {s: FakeServer(range(0)) for s in (source, target)}
+        granter = create_granter(tables_by_group, servers)
+        granter.start_epoch(clock.boot_s() + 60.0)
+        granter.apply_table(table)
+        for first in (0, 500):
+            moving = tables.start_moves(
+                tables_by_group["g"],
+                [ownership.Move(first, first + 99, target)],
+            )
+            tables_by_group["g"] = dataclasses.replace(moving, revision=2)
+            granter.apply_table(tables_by_group["g"])
+            await asyncio.sleep(0.3)
+        assert 500 in servers[target].granted_s
+        assert 0 not in servers[target].granted_s
+        granter.close()
+
+    async def test_move_is_planned_once_the_owner_was_granted_its_keys(self):
+        """Guards against keys that nobody serves until earlier grants expire.
+
+        An owner that can't be granted its keys isn't waited for.
+        """
+        source, gone, _ = _INSTANCES
+        table = tables.raise_tokens(tables.create("g", [source, gone], 1), 2)
+        servers = {source: FakeServer(range(0))}
+        granter = create_granter({"g": table}, servers)
+        granter.start_epoch(clock.boot_s() + 60.0)
+        granter.apply_table(table)
+        awaited = [granter.awaits_first_grant(r) for r in table.ranges]
+        assert awaited == [True, False]
+        await asyncio.sleep(0.1)
+        awaited = [granter.awaits_first_grant(r) for r in table.ranges]
+        assert awaited == [False, False]
+        granter.close()
+
+
 class RestartedServer(FakeServer):
     """A server that has started again under its id.
 
