Check a keeper's authority right before each command of a move

A move sent releases without looking whether the keeper may still act, and looked before it waited for another grant to the same server, rather than after.

Before the change, both tests of TestStaleKeeper in tests/gateway/ownership/test_granting.py failed: one command was sent in each.

--- a/berylweir/gateway/ownership/granting.py
+++ b/berylweir/gateway/ownership/granting.py
@@ -487,10 +487,10 @@
         handover: str | None,
     ) -> bool:
         """Grants a moving range to its target; returns whether it accepted."""
-        client = self._clients.get(target)
-        if client is None or not self._may_act():
-            return False
         async with self._lock(target):
+            client = self._clients.get(target)
+            if client is None or not self._may_act():
+                return False
             outcome = await self._send_grant(
                 client, target, key_range, handover
             )
@@ -537,7 +537,7 @@
             and source not in self._replaced_instances
         ):
             client = self._newest_client(source)
-            if client is not None:
+            if client is not None and self._may_act():
                 outcome = await client.send(
                     grants.Release(
                         key_range.first, key_range.last, key_range.token
--- a/tests/gateway/ownership/test_granting.py
+++ b/tests/gateway/ownership/test_granting.py
@@ -250,6 +250,85 @@
         granter.close()
 
 
+class Authority:
+    """Whether a keeper may act."""
+
+    def __init__(self) -> None:
+        self.may_act = True
+
+
+class CommandLog(FakeServer):
+    """A server that accepts all commands and keeps them."""
+
+    def __init__(self) -> None:
+        super().__init__(range(0))
+        self.commands: list[grants.Command] = []
+
+    async def send(self, command: grants.Command) -> grant_client.SendOutcome:
+        """Keeps a command and accepts it."""
+        self.commands.append(command)
+        return await super().send(command)
+
+
+class TestStaleKeeper:
+    """A keeper whose authority ended while it was executing a move."""
+
+    def start(self):
+        """Starts a keeper that has granted all keys to the source.
+
+        Returns:
+            The keeper, its authority, its tables and the servers.
+        """
+        source, target, _ = _INSTANCES
+        authority = Authority()
+        tables_by_group = {"g": tables.create("g", [source], 1)}
+        servers = {s: CommandLog() for s in (source, target)}
+        granter = granting.Granter(
+            tables_by_group.get,
+            lambda: authority.may_act,
+            lambda: None,
+            lambda: None,
+            lambda: None,
+            counters.Counters(),
+        )
+        granter._clients.update(servers)
+        granter.start_epoch(clock.boot_s())
+        granter.apply_table(tables_by_group["g"])
+        return granter, authority, tables_by_group, servers
+
+    def move_all(self, granter, tables_by_group) -> None:
+        """Starts a move of all keys to the target."""
+        moving = tables.start_moves(
+            tables_by_group["g"],
+            [ownership.Move(0, models.KEY_COUNT - 1, _INSTANCES[1])],
+        )
+        tables_by_group["g"] = dataclasses.replace(moving, revision=2)
+        granter.apply_table(tables_by_group["g"])
+
+    async def test_release_is_not_sent_without_authority(self):
+        """Guards against keys that are released for a later keeper's owner."""
+        granter, authority, tables_by_group, servers = self.start()
+        await asyncio.sleep(0.1)
+        self.move_all(granter, tables_by_group)
+        authority.may_act = False
+        await asyncio.sleep(0.5)
+        granter.close()
+        commands = servers[_INSTANCES[0]].commands
+        assert [c for c in commands if isinstance(c, grants.Release)] == []
+
+    async def test_grant_is_not_sent_without_authority(self):
+        """Guards against a grant that waited for another one to the server."""
+        granter, authority, tables_by_group, servers = self.start()
+        await asyncio.sleep(0.1)
+        async with granter._lock(_INSTANCES[1]):
+            self.move_all(granter, tables_by_group)
+            await asyncio.sleep(0.3)
+            authority.may_act = False
+        await asyncio.sleep(0.3)
+        granter.close()
+        assert servers[_INSTANCES[1]].commands == []
+
+
 class RestartedServer(FakeServer):
     """A server that has started again under its id.
 
