Wait for an earlier keeper before moving keys of a restarted server

A server that has started again has forgotten the tokens that it accepted, so that an earlier keeper that may still act can grant it keys. That it isn't fenced was only taken into account for a release without a response, and the wait used there still went by the instance that was fenced. The keys went to the target as soon as the new instance had released them.

Before the change, test_restarted_owner_may_be_granted_keys_by_an_earlier_keeper of tests/gateway/ownership/test_granting.py failed: the keys were granted after 0.07 s rather than 3 s.

--- a/berylweir/gateway/ownership/granting.py
+++ b/berylweir/gateway/ownership/granting.py
@@ -514,11 +514,11 @@
             # While the lock is held no renewal is in flight, and none that
             # includes this range will follow.
             last_expires_s = self._expiries.for_server(source).expires_s
+            is_fenced = self._expiries.for_server(source).is_fenced
             # A server that has started again has forgotten the tokens.
-            is_fenced = self._expiries.for_server(
-                source
-            ).is_fenced and not self._was_replaced(source)
-            may_be_granted_by_predecessor = self._is_unfenced(source, key_range)
+            may_be_granted_by_predecessor = self._is_unfenced(
+                source, key_range
+            ) or self._was_replaced(source)
         await asyncio.sleep(_PUBLISH_DELAY_S)
 
         def expires_s() -> float:
--- a/tests/gateway/ownership/test_granting.py
+++ b/tests/gateway/ownership/test_granting.py
@@ -353,11 +353,18 @@
 class TestRestartedOwner:
     """Moves from an owner that has started again under its id."""
 
-    async def move(self, restarted: RestartedServer) -> float:
+    async def move(
+        self, restarted: RestartedServer, earlier_keeper_acts_s: float = 0.0
+    ) -> float:
         """Returns when the keys are granted to the target of the move.
 
         The owner gets a grant before the keeper knows of its new start.
 
+        Args:
+            restarted: The owner after its new start.
+            earlier_keeper_acts_s: Time for which an earlier keeper may act, in
+                seconds; 0 if it is known to have stopped.
+
         Returns:
             The time on the boot clock, in seconds.
         """
@@ -367,8 +374,9 @@
         granter = create_granter(
             tables_by_group, {source: FakeServer(range(0)), target: fast}
         )
-        granter.start_epoch(clock.boot_s())
-        granter.confirm_predecessors_stopped()
+        granter.start_epoch(clock.boot_s() + earlier_keeper_acts_s)
+        if not earlier_keeper_acts_s:
+            granter.confirm_predecessors_stopped()
         granter.apply_table(tables_by_group["g"])
         await asyncio.sleep(0.05)
         entry = models.BackendServer(
@@ -395,6 +403,19 @@
         granted_s = await self.move(restarted)
         assert granted_s >= restarted.released_s
 
+    async def test_restarted_owner_may_be_granted_keys_by_an_earlier_keeper(
+        self,
+    ):
+        """Guards against a new life that has forgotten the higher tokens."""
+        started_s = clock.boot_s()
+        granted_s = await self.move(
+            RestartedServer(responds=True), _EARLIER_KEEPER_ACTS_S
+        )
+        assert (
+            granted_s - started_s
+            >= _EARLIER_KEEPER_ACTS_S + grant_expiry.GRANT_DURATION_S
+        )
+
     async def test_keys_of_a_silent_restarted_owner_wait_for_its_grants(self):
         """Guards against a second owner while the new life can't be asked."""
         started_s = clock.boot_s()
