Encode a key table again when changes were applied to it

The cache kept the encoded object of a table that other gateways ask for, and told by the revision whether it was still that of the known table. A restored store gives out revisions again, so that a table of a later epoch could reach the revision of the encoded one of an earlier epoch, which was then sent in its place.

Before the change, test_whole_table_is_not_that_of_an_earlier_epoch of tests/gateway/ownership/test_table_publisher.py failed: epoch 1 in place of 2.

--- a/berylweir/gateway/store_cache.py
+++ b/berylweir/gateway/store_cache.py
@@ -231,6 +231,7 @@
                         )
                         continue
                     if table.order > cached.order:
+                        self._key_table_objects.pop(stored.name, None)
                         self._set_key_table(stored.name, table)
                 case result.Err(failure):
                     self._report_undecodable(
@@ -250,8 +251,7 @@
     def key_table_objects(self) -> Mapping[str, store.StoredObject]:
         """Newest known key tables by object name."""
         for name, table in self._key_tables.items():
-            encoded = self._key_table_objects.get(name)
-            if encoded is None or encoded.revision != table.revision:
+            if name not in self._key_table_objects:
                 self._key_table_objects[name] = store.build_stored_object(
                     name,
                     table.revision,
--- a/tests/gateway/ownership/test_table_publisher.py
+++ b/tests/gateway/ownership/test_table_publisher.py
@@ -221,3 +221,28 @@
         assert table_order.revisions(cache.key_table_orders) == {"g": 3}
         cache.apply_key_table_changes([table_diff], 3, 1)
         assert table_order.revisions(cache.key_table_orders) == {"g": 9}
+
+    def test_whole_table_is_not_that_of_an_earlier_epoch(self):
+        """Guards against sending a table that was replaced long ago.
+
+        A restored store has given out its revision again.
+        """
+        cache = store_cache.StoreCache([], counters.Counters())
+        earlier = dataclasses.replace(
+            tables.create("g", _INSTANCES, 1), revision=9
+        )
+        base = dataclasses.replace(tables.raise_tokens(earlier, 2), revision=3)
+        cache.update_key_tables([stored_table(earlier)])
+        move = ownership.Move(0, 10, _INSTANCES[7])
+        newest = dataclasses.replace(
+            tables.start_moves(base, [move]), revision=9
+        )
+        cache.apply_key_table_changes(
+            [stored_table(tables.diff(earlier, base))], 9, 1
+        )
+        cache.apply_key_table_changes(
+            [stored_table(tables.diff(base, newest))], 3, 2
+        )
+        assert cache.key_table_orders == {"g": newest.order}
+        (stored,) = cache.key_table_objects.values()
+        assert objects.decode_table(stored).unwrap().epoch == 2
