Take the key tables of all gateways that were asked

While neither the lease holder nor the store answers, a gateway reads the tables of two others, and took those of the one with the highest revision. A restored store gives out revisions again, so that these may be of an earlier epoch. It now passes on the tables of both; the cache keeps the newer of each by their order.

Before the change, test_table_of_a_later_epoch_at_a_lower_revision_is_read of tests/gateway/replication/test_table_reader.py failed.

--- a/berylweir/gateway/peers/snapshots.py
+++ b/berylweir/gateway/peers/snapshots.py
@@ -54,18 +54,18 @@
 
     async def fetch_from_others(
         self, kind: str
-    ) -> messages.ObjectsSnapshot | None:
-        """Returns the newest snapshot of a kind from a few random gateways.
+    ) -> list[messages.ObjectsSnapshot]:
+        """Returns what a few random gateways know of a kind.
 
-        Returns None if none of them answers or knows an object of the kind.
+        Gateways that don't answer, or know no object of the kind, are left out.
+        Which object is newer only its own order tells, not the revision.
         """
         others = [
             v for v in self._vms.values() if v.name != self._local_vm.name
         ]
         chosen = random.sample(others, min(_MAX_GATEWAYS_ASKED, len(others)))
         snapshots = [await self._fetch(vm, kind) for vm in chosen]
-        known = [snapshot for snapshot in snapshots if snapshot is not None]
-        return max(known, key=lambda snapshot: snapshot.revision, default=None)
+        return [snapshot for snapshot in snapshots if snapshot is not None]
 
     async def _fetch(
         self, vm: models.Vm, kind: str
--- a/berylweir/gateway/replication/table_reader.py
+++ b/berylweir/gateway/replication/table_reader.py
@@ -84,8 +84,7 @@
                 self._metrics.count("store.failed.tables")
                 _LOGGER.warning("tables not read", extra={"failure": failure})
                 self._refresh_requested.set()
-                snapshot = await self._snapshot_client.fetch_from_others(
+                for other in await self._snapshot_client.fetch_from_others(
                     objects.KEY_TABLES_KIND
-                )
-                if snapshot is not None:
-                    self._publish(codec.decode_objects(snapshot.objects))
+                ):
+                    self._publish(codec.decode_objects(other.objects))
