Check a keeper's authority once the connection to a server is open

A keeper looked whether it may act, and then connected to the server. If the VM was suspended meanwhile, the loop's clock stood still, so that no timeout passed and the grant or release was sent long after its successor had counted on the end of the keeper's authority. The client of a server now asks again once the connection is open.

Before the change, test_grant_is_not_sent_if_authority_ends_while_connecting of tests/gateway/ownership/test_granting.py failed: the grant was sent.

--- a/berylweir/gateway/ownership/grant_client.py
+++ b/berylweir/gateway/ownership/grant_client.py
@@ -1,6 +1,7 @@
 """HTTP client that sends grants and releases to one backend server."""
 
 import asyncio
+from collections.abc import Callable
 import dataclasses
 import uuid
 
@@ -48,17 +49,26 @@
     answer ends the wait for it.
     """
 
-    def __init__(self, server: str, host: str, port: int) -> None:
+    def __init__(
+        self,
+        server: str,
+        host: str,
+        port: int,
+        may_send: Callable[[], bool] = lambda: True,
+    ) -> None:
         """Creates the client without opening a connection.
 
         Args:
             server: Id of the server.
             host: IP address of the server.
             port: TCP port of the server.
+            may_send: Returns whether a command may be sent now. It is called
+                once the connection is open.
         """
         self._server = server
         self._host = host
         self._port = port
+        self._may_send = may_send
         self._idle_connections: list[http.Connection] = []
         self._id_prefix = uuid.uuid4().hex
         self._command_count = 0
@@ -92,6 +102,9 @@
                 connection.enable_keepalive()
             except (OSError, TimeoutError):
                 return NotSent()
+        if not self._may_send():
+            connection.close()
+            return NotSent()
         has_response = False
         try:
             async with asyncio.timeout(timeout_s):
--- a/berylweir/gateway/ownership/granting.py
+++ b/berylweir/gateway/ownership/granting.py
@@ -181,7 +181,7 @@
                 not in self._clients.keys() | self._replaced_instances
             ):
                 self._clients[server.instance] = grant_client.GrantClient(
-                    server.name, server.host, server.port
+                    server.name, server.host, server.port, self._may_act
                 )
 
     def is_lost(self, instance: models.ServerInstance) -> bool:
--- a/tests/gateway/ownership/test_granting.py
+++ b/tests/gateway/ownership/test_granting.py
@@ -2,7 +2,9 @@
 
 import asyncio
 from collections.abc import Mapping
+import contextlib
 import dataclasses
+from unittest import mock
 
 from berylweir.gateway import clock
 from berylweir.gateway import models
@@ -13,6 +15,7 @@
 from berylweir.gateway.ownership import tables
 from berylweir.observability import counters
 from berylweir.platform import grants
+from berylweir.router.backends import connection as http
 
 _INSTANCES = [
     models.ServerInstance(name, 1) for name in ("from", "target", "next")
@@ -328,6 +331,57 @@
         granter.close()
         assert servers[_INSTANCES[1]].commands == []
 
+    async def test_grant_is_not_sent_if_authority_ends_while_connecting(self):
+        """Guards against a grant of a gateway that was suspended meanwhile.
+
+        The loop's clock doesn't include the suspension, so that no timeout
+        passes.
+        """
+        authority = Authority()
+        received: list[bytes] = []
+
+        async def serve(
+            reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+        ) -> None:
+            data = b""
+            with contextlib.suppress(ConnectionResetError):
+                data = await reader.read(1)
+            received.append(data)
+            writer.close()
+
+        connect = http.connect
+
+        async def connect_slowly(*args, **options) -> http.Connection:
+            connection = await connect(*args, **options)
+            authority.may_act = False
+            return connection
+
+        listener = await asyncio.start_server(serve, "127.0.0.1", 0)
+        port = listener.sockets[0].getsockname()[1]
+        owner = _INSTANCES[0]
+        table = tables.create("g", [owner], 1)
+        granter = granting.Granter(
+            {"g": table}.get,
+            lambda: authority.may_act,
+            lambda: None,
+            lambda: None,
+            lambda: None,
+            counters.Counters(),
+        )
+        entry = models.BackendServer(
+            owner.server, 1, "g", "127.0.0.1", port, "a", 3, False, 0.0, 1
+        )
+        with mock.patch.object(http, "connect", connect_slowly):
+            granter.update_servers({owner.server: entry})
+            granter.start_epoch(clock.boot_s())
+            granter.apply_table(table)
+            async with asyncio.timeout(5.0):
+                while not received:
+                    await asyncio.sleep(0.01)
+        granter.close()
+        listener.close()
+        assert received == [b""]
+
 
 class RestartedServer(FakeServer):
     """A server that has started again under its id.
