Delete nothing from the store on a condition of an earlier generation

The condition of a deletion was sent without looking at the generation of its revision, unlike that of a write. After a restoration the number may be that of another state of the object, so that the lease holder could remove a VM that had registered again.

Before the change, test_removal_with_a_condition_of_before_conflicts of tests/platform/test_store.py failed: the object was deleted.

--- a/berylweir/platform/store.py
+++ b/berylweir/platform/store.py
@@ -352,7 +352,15 @@
     async def delete(
         self, kind: str, name: str, revision: int
     ) -> result.Result[None, exceptions.StoreFailure]:
-        """Deletes an object that hasn't changed since `revision`."""
+        """Deletes an object that hasn't changed since `revision`.
+
+        Returns:
+            `Conflict` if it has changed or the store was restored, or another
+            failure.
+        """
+        if revisions.generation(revision) < self._generation.current:
+            conflict = await self._report_conflict(kind, name)
+            return conflict.map(lambda _: None)
         number = revisions.number(revision)
         path = f"{_object_path(kind, name)}?rev={number}"
         match await self._send_request("DELETE", path):
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -248,6 +248,28 @@
             await client.replace("k", "x", b"4", current.revision), result.Ok
         )
 
+    async def test_removal_with_a_condition_of_before_conflicts(
+        self, store_and_client
+    ):
+        """Guards against removing a state with the same revision."""
+        fake_store, client = store_and_client
+        created = (await client.create("k", "x", b"1")).unwrap()
+        copy = fake_store.copy()
+        written = (
+            await client.replace("k", "x", b"2", created.revision)
+        ).unwrap()
+        await fake_store.restore(copy)
+        await fake_store.put("k", "x", 3)
+        assert fake_store.revision == revisions.number(written.revision)
+        await client.list_all("k")
+        conflict = (await client.delete("k", "x", written.revision)).err()
+        assert isinstance(conflict, exceptions.Conflict)
+        current = store.decode_conflict(conflict)
+        assert bytes(current.spec) == b"3"
+        assert isinstance(
+            await client.delete("k", "x", current.revision), result.Ok
+        )
+
 
 class TestLongResponses:
     """Responses that are longer than the store sends them."""
