--- a/tests/gateway/ownership/test_granting.py
+++ b/tests/gateway/ownership/test_granting.py
@@ -2,7 +2,9 @@
 
 import asyncio
 from collections.abc import Mapping
+import contextlib
 import dataclasses
+from unittest import mock
 
 from berylweir.gateway import clock
 from berylweir.gateway import models
@@ -13,6 +15,7 @@
 from berylweir.gateway.ownership import tables
 from berylweir.observability import counters
 from berylweir.platform import grants
+from berylweir.router.backends import connection as http
 
 _INSTANCES = [
     models.ServerInstance(name, 1) for name in ("from", "target", "next")
@@ -160,6 +163,226 @@
         assert waited_s < _EARLIER_KEEPER_ACTS_S + grant_expiry.GRANT_DURATION_S
 
 
+class TestMovesBeforeTheFirstGrant:
+    """Moves whose source hasn't accepted this keeper's token for the keys."""
+
+    async def move(self, *, releases: bool) -> float:
+        """Returns when the target of a move is granted its keys.
+
+        The move starts before the source has been granted anything, so that
+        it only accepts grants of its other keys.
+
+        Args:
+            releases: Whether the source accepts the release.
+
+        Returns:
+            The time in seconds, from the start of the epoch.
+        """
+        source, target, _ = _INSTANCES
+        table = tables.raise_tokens(tables.create("g", [source], 1), 2)
+        tables_by_group = {"g": table}
+        servers = {
+            source: FakeServer(range(0) if releases else range(100)),
+            target: FakeServer(range(0)),
+        }
+        granter = create_granter(tables_by_group, servers)
+        started_s = clock.boot_s()
+        granter.start_epoch(started_s + _EARLIER_KEEPER_ACTS_S)
+        granter.apply_table(table)
+        moving = tables.start_moves(table, [ownership.Move(0, 99, target)])
+        tables_by_group["g"] = dataclasses.replace(moving, revision=2)
+        granter.apply_table(tables_by_group["g"])
+        async with asyncio.timeout(30.0):
+            while 0 not in servers[target].granted_s:
+                await asyncio.sleep(0.01)
+        granter.close()
+        assert list(servers[source].granted_s) == [100]
+        return servers[target].granted_s[0] - started_s
+
+    async def test_released_keys_wait_for_an_earlier_keeper(self):
+        """Guards against a source that an earlier keeper grants keys again."""
+        waited_s = await self.move(releases=True)
+        assert (
+            waited_s >= _EARLIER_KEEPER_ACTS_S + grant_expiry.GRANT_DURATION_S
+        )
+
+    async def test_unreleased_keys_wait_for_an_earlier_keeper(self):
+        """Guards against a source that is taken for fenced by other keys."""
+        waited_s = await self.move(releases=False)
+        assert (
+            waited_s >= _EARLIER_KEEPER_ACTS_S + grant_expiry.GRANT_DURATION_S
+        )
+
+    async def test_accepted_part_does_not_wait(self):
+        """Guards against a wait for keys whose new token was accepted."""
+        source, target, _ = _INSTANCES
+        table = tables.raise_tokens(tables.create("g", [source], 1), 2)
+        tables_by_group = {"g": table}
+        servers = {s: FakeServer(range(0)) for s in (source, target)}
+        granter = create_granter(tables_by_group, servers)
+        granter.start_epoch(clock.boot_s() + 60.0)
+        granter.apply_table(table)
+        for first in (0, 500):
+            moving = tables.start_moves(
+                tables_by_group["g"],
+                [ownership.Move(first, first + 99, target)],
+            )
+            tables_by_group["g"] = dataclasses.replace(moving, revision=2)
+            granter.apply_table(tables_by_group["g"])
+            await asyncio.sleep(0.3)
+        assert 500 in servers[target].granted_s
+        assert 0 not in servers[target].granted_s
+        granter.close()
+
+    async def test_move_is_planned_once_the_owner_was_granted_its_keys(self):
+        """Guards against keys that nobody serves until earlier grants expire.
+
+        An owner that can't be granted its keys isn't waited for.
+        """
+        source, gone, _ = _INSTANCES
+        table = tables.raise_tokens(tables.create("g", [source, gone], 1), 2)
+        servers = {source: FakeServer(range(0))}
+        granter = create_granter({"g": table}, servers)
+        granter.start_epoch(clock.boot_s() + 60.0)
+        granter.apply_table(table)
+        awaited = [granter.awaits_first_grant(r) for r in table.ranges]
+        assert awaited == [True, False]
+        await asyncio.sleep(0.1)
+        awaited = [granter.awaits_first_grant(r) for r in table.ranges]
+        assert awaited == [False, False]
+        granter.close()
+
+
+class Authority:
+    """Whether a keeper may act."""
+
+    def __init__(self) -> None:
+        self.may_act = True
+
+
+class CommandLog(FakeServer):
+    """A server that accepts all commands and keeps them."""
+
+    def __init__(self) -> None:
+        super().__init__(range(0))
+        self.commands: list[grants.Command] = []
+
+    async def send(self, command: grants.Command) -> grant_client.SendOutcome:
+        """Keeps a command and accepts it."""
+        self.commands.append(command)
+        return await super().send(command)
+
+
+class TestStaleKeeper:
+    """A keeper whose authority ended while it was executing a move."""
+
+    def start(self):
+        """Starts a keeper that has granted all keys to the source.
+
+        Returns:
+            The keeper, its authority, its tables and the servers.
+        """
+        source, target, _ = _INSTANCES
+        authority = Authority()
+        tables_by_group = {"g": tables.create("g", [source], 1)}
+        servers = {s: CommandLog() for s in (source, target)}
+        granter = granting.Granter(
+            tables_by_group.get,
+            lambda: authority.may_act,
+            lambda: None,
+            lambda: None,
+            lambda: None,
+            counters.Counters(),
+        )
+        granter._clients.update(servers)
+        granter.start_epoch(clock.boot_s())
+        granter.apply_table(tables_by_group["g"])
+        return granter, authority, tables_by_group, servers
+
+    def move_all(self, granter, tables_by_group) -> None:
+        """Starts a move of all keys to the target."""
+        moving = tables.start_moves(
+            tables_by_group["g"],
+            [ownership.Move(0, models.KEY_COUNT - 1, _INSTANCES[1])],
+        )
+        tables_by_group["g"] = dataclasses.replace(moving, revision=2)
+        granter.apply_table(tables_by_group["g"])
+
+    async def test_release_is_not_sent_without_authority(self):
+        """Guards against keys that are released for a later keeper's owner."""
+        granter, authority, tables_by_group, servers = self.start()
+        await asyncio.sleep(0.1)
+        self.move_all(granter, tables_by_group)
+        authority.may_act = False
+        await asyncio.sleep(0.5)
+        granter.close()
+        commands = servers[_INSTANCES[0]].commands
+        assert [c for c in commands if isinstance(c, grants.Release)] == []
+
+    async def test_grant_is_not_sent_without_authority(self):
+        """Guards against a grant that waited for another one to the server."""
+        granter, authority, tables_by_group, servers = self.start()
+        await asyncio.sleep(0.1)
+        async with granter._lock(_INSTANCES[1]):
+            self.move_all(granter, tables_by_group)
+            await asyncio.sleep(0.3)
+            authority.may_act = False
+        await asyncio.sleep(0.3)
+        granter.close()
+        assert servers[_INSTANCES[1]].commands == []
+
+    async def test_grant_is_not_sent_if_authority_ends_while_connecting(self):
+        """Guards against a grant of a gateway that was suspended meanwhile.
+
+        The loop's clock doesn't include the suspension, so that no timeout
+        passes.
+        """
+        authority = Authority()
+        received: list[bytes] = []
+
+        async def serve(
+            reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+        ) -> None:
+            data = b""
+            with contextlib.suppress(ConnectionResetError):
+                data = await reader.read(1)
+            received.append(data)
+            writer.close()
+
+        connect = http.connect
+
+        async def connect_slowly(*args, **options) -> http.Connection:
+            connection = await connect(*args, **options)
+            authority.may_act = False
+            return connection
+
+        listener = await asyncio.start_server(serve, "127.0.0.1", 0)
+        port = listener.sockets[0].getsockname()[1]
+        owner = _INSTANCES[0]
+        table = tables.create("g", [owner], 1)
+        granter = granting.Granter(
+            {"g": table}.get,
+            lambda: authority.may_act,
+            lambda: None,
+            lambda: None,
+            lambda: None,
+            counters.Counters(),
+        )
+        entry = models.BackendServer(
+            owner.server, 1, "g", "127.0.0.1", port, "a", 3, False, 0.0, 1
+        )
+        with mock.patch.object(http, "connect", connect_slowly):
+            granter.update_servers({owner.server: entry})
+            granter.start_epoch(clock.boot_s())
+            granter.apply_table(table)
+            async with asyncio.timeout(5.0):
+                while not received:
+                    await asyncio.sleep(0.01)
+        granter.close()
+        listener.close()
+        assert received == [b""]
+
+
 class RestartedServer(FakeServer):
     """A server that has started again under its id.
 
@@ -184,11 +407,18 @@
 class TestRestartedOwner:
     """Moves from an owner that has started again under its id."""
 
-    async def move(self, restarted: RestartedServer) -> float:
+    async def move(
+        self, restarted: RestartedServer, earlier_keeper_acts_s: float = 0.0
+    ) -> float:
         """Returns when the keys are granted to the target of the move.
 
         The owner gets a grant before the keeper knows of its new start.
 
+        Args:
+            restarted: The owner after its new start.
+            earlier_keeper_acts_s: Time for which an earlier keeper may act, in
+                seconds; 0 if it is known to have stopped.
+
         Returns:
             The time on the boot clock, in seconds.
         """
@@ -198,8 +428,9 @@
         granter = create_granter(
             tables_by_group, {source: FakeServer(range(0)), target: fast}
         )
-        granter.start_epoch(clock.boot_s())
-        granter.confirm_predecessors_stopped()
+        granter.start_epoch(clock.boot_s() + earlier_keeper_acts_s)
+        if not earlier_keeper_acts_s:
+            granter.confirm_predecessors_stopped()
         granter.apply_table(tables_by_group["g"])
         await asyncio.sleep(0.05)
         entry = models.BackendServer(
@@ -226,6 +457,19 @@
         granted_s = await self.move(restarted)
         assert granted_s >= restarted.released_s
 
+    async def test_restarted_owner_may_be_granted_keys_by_an_earlier_keeper(
+        self,
+    ):
+        """Guards against a new life that has forgotten the higher tokens."""
+        started_s = clock.boot_s()
+        granted_s = await self.move(
+            RestartedServer(responds=True), _EARLIER_KEEPER_ACTS_S
+        )
+        assert (
+            granted_s - started_s
+            >= _EARLIER_KEEPER_ACTS_S + grant_expiry.GRANT_DURATION_S
+        )
+
     async def test_keys_of_a_silent_restarted_owner_wait_for_its_grants(self):
         """Guards against a second owner while the new life can't be asked."""
         started_s = clock.boot_s()
