Tell the caller of a closed idle connection at once

Cause: with uvloop, write_eof takes effect at the next turn of the event loop. What else ran in the present turn lay between the check for unread requests and the end, and callers went on sending meanwhile. The tests run on asyncio and didn't see it; an independent review did.

Change: the socket's output is shut down directly, right behind the check.

Evidence: test_other_end_is_told_at_once failed with uvloop before.

--- a/berylweir/transports/lingering.py
+++ b/berylweir/transports/lingering.py
@@ -7,8 +7,11 @@
 """
 
 import asyncio
+import contextlib
 import fcntl
+import os
 import select
+import socket
 import struct
 import termios
 
@@ -64,6 +67,23 @@
     return bool(poll.poll(0))
 
 
+def _end_output(transport: asyncio.Transport) -> None:
+    """Tells the other end at once that nothing more is sent.
+
+    `write_eof` may wait for the next turn of the event loop.
+
+    Args:
+        transport: Transport without buffered data.
+    """
+    sock = transport.get_extra_info("socket")
+    # The other end may have reset the connection.
+    with (
+        socket.socket(fileno=os.dup(sock.fileno())) as duplicate,
+        contextlib.suppress(OSError),
+    ):
+        duplicate.shutdown(socket.SHUT_WR)
+
+
 async def close_idle(transport: asyncio.Transport) -> int:
     """Closes a connection on which nothing is due, and reads nothing more.
 
@@ -81,7 +101,7 @@
         await close(transport)
         return 0
     transport.pause_reading()
-    transport.write_eof()
+    _end_output(transport)
     for _ in range(round(_ACKNOWLEDGED_LINGER_S / _CLOSE_CHECK_INTERVAL_S)):
         if _has_peer_closed(transport):
             break
--- a/tests/transports/test_lingering.py
+++ b/tests/transports/test_lingering.py
@@ -4,6 +4,9 @@
 import contextlib
 import socket
 
+import pytest
+import uvloop
+
 from berylweir.transports import lingering
 
 _DATA = bytes(600_000)
@@ -119,6 +122,34 @@
             assert await close_task == len(b"request")
             assert owner.received == b""
 
+    @pytest.mark.parametrize(
+        "new_event_loop", [asyncio.new_event_loop, uvloop.new_event_loop]
+    )
+    def test_other_end_is_told_at_once(self, new_event_loop):
+        """Guards against requests that arrive before a delayed end."""
+
+        async def run() -> None:
+            async with open_connection() as (owner, other):
+                seen = asyncio.get_running_loop().create_future()
+
+                def look() -> None:
+                    try:
+                        seen.set_result(other.recv(1, socket.MSG_PEEK))
+                    except BlockingIOError:
+                        seen.set_result(None)
+
+                close_task = asyncio.create_task(
+                    lingering.close_idle(owner.transport)
+                )
+                # Runs at the same turn of the loop, behind the task.
+                asyncio.get_running_loop().call_soon(look)
+                assert await seen == b""
+                other.close()
+                await close_task
+
+        with asyncio.Runner(loop_factory=new_event_loop) as runner:
+            runner.run(run())
+
     async def test_connection_ends_with_the_other_end(self):
         """Guards against a stop that waits for connections that have ended."""
         async with open_connection() as (owner, other):
