Guard the last check for unread requests by a test

Cause: the tests passed without the question to the kernel, as a review showed.

Result: test_request_that_arrives_last_is_answered fails without it.

--- a/tests/gateway/ingress/test_closing.py
+++ b/tests/gateway/ingress/test_closing.py
@@ -13,6 +13,7 @@
 from berylweir.gateway.ingress import protocol
 from berylweir.observability import counters
 from berylweir.standin.gateway_platform import http
+from berylweir.transports import lingering
 from tests.gateway import rig
 
 _BODY = bytes(900_000)
@@ -160,6 +161,22 @@
             assert (reply.status, reply.headers["connection"]) == (200, "close")
             assert await caller.reader.read() == b""
 
+    async def test_request_that_arrives_last_is_answered(self, monkeypatch):
+        """Guards against a close that doesn't ask the kernel."""
+        count_unread = lingering.count_unread
+        async with open_connection() as (connection, caller):
+
+            def send_and_count(transport: asyncio.Transport) -> int:
+                monkeypatch.setattr(lingering, "count_unread", count_unread)
+                caller.send("/r/2", "a2")
+                return count_unread(transport)
+
+            monkeypatch.setattr(lingering, "count_unread", send_and_count)
+            stop(connection)
+            reply = await caller.read()
+            assert reply is not None
+            assert (reply.status, reply.headers["connection"]) == (200, "close")
+
     @pytest.mark.parametrize("decide", [stop, check_idle_limit])
     async def test_connection_without_a_request_is_closed(self, decide):
         """Guards against a stop that waits for idle connections."""
