Leave requests unread that cross the close of an idle router connection

Cause: the same as in the gateway. After the router had ended its side of an idle connection, it read and dropped requests that it couldn't answer any more.

Change: it uses lingering.close_idle as the gateway does.

Result: TestCrossingRequests asserts that the request is left unread; the counter that it uses is new with this change.

--- a/berylweir/router/ingress/protocol.py
+++ b/berylweir/router/ingress/protocol.py
@@ -395,8 +395,9 @@
         try:
             while await self._wait_for_request():
                 if not await self._serve_one(self._queue.popleft()):
-                    break
-            await self._close_lingering()
+                    await self._close_lingering()
+                    return
+            await self._close_idle()
         except exceptions.ResponseCut:
             self._metrics.count("router.response.cut")
             self.abort()
@@ -486,6 +487,15 @@
             self._queue.append(refusal)
         self._wake()
 
+    async def _close_idle(self) -> None:
+        """Closes the connection after all requests were answered."""
+        self._ignores_input = True
+        transport = self._transport
+        if transport is None or transport.is_closing():
+            return
+        if await lingering.close_idle(transport) > 0:
+            self._metrics.count("router.closed_unread")
+
     async def _close_lingering(self) -> None:
         """Closes the connection once the caller has received all data.
 
--- a/tests/router/test_closing.py
+++ b/tests/router/test_closing.py
@@ -330,3 +330,21 @@
             await rig.wait_until(
                 lambda: connection not in connection._connections
             )
+
+
+class TestCrossingRequests:
+    """Requests that cross the close of an idle connection."""
+
+    async def test_request_is_not_received(self):
+        """Guards against receiving a request that can't be answered."""
+        async with open_connection(with_tls=False) as (
+            connection,
+            reader,
+            writer,
+        ):
+            connection.begin_close()
+            assert await reader.read() == b""
+            writer.write(_REQUEST)
+            await connection._task
+            counts = connection._metrics.counts
+            assert counts.get("router.closed_unread") == 1
