Test that server entries follow a restored store

Deployment.update_servers compares the revisions of entries. That is safe, as the store's client adds the generation to each number.

--- a/tests/gateway/dispatch/test_deployment.py
+++ b/tests/gateway/dispatch/test_deployment.py
@@ -1,8 +1,20 @@
 """Tests of what the dispatcher knows of groups and their key tables."""
 
+import contextlib
+
+from berylweir.gateway import messages
 from berylweir.gateway import models
+from berylweir.gateway import revisions
+from berylweir.gateway import store_cache
 from berylweir.gateway.dispatch import deployment
 from berylweir.gateway.dispatch import leaving
+from berylweir.observability import counters
+from berylweir.platform import objects
+from berylweir.platform import settings
+from berylweir.platform import store
+from berylweir.standin.gateway_platform import http
+from berylweir.standin.gateway_platform import server as server_standin
+from berylweir.standin.gateway_platform import store as store_standin
 
 _GROUP = models.ServerGroup("slots", 100, 8.0, True)
 
@@ -71,3 +83,46 @@
         known.update_key_table(table(10, epoch=2))
         known.update_key_table(table(50, epoch=1))
         assert known.groups["slots"].table == table(10, epoch=2)
+
+
+class TestServers:
+    """Entries of servers in a store that was restored from a copy."""
+
+    async def test_entry_at_a_number_that_was_given_out_before_is_ignored(self):
+        """Guards against an entry that stays as it was before a restoration.
+
+        The store counts its revisions from an earlier number again, and the
+        client adds the generation.
+        """
+        known = deployment.Deployment(
+            models.Bounds(), leaving.LeavingInstances()
+        )
+
+        def apply(message: messages.StoreUpdate) -> None:
+            match message:
+                case messages.ServersChanged(servers):
+                    known.update_servers(servers, 0.0)
+
+        cache = store_cache.StoreCache([apply], counters.Counters())
+        instance = models.ServerInstance("s", 1)
+        async with contextlib.AsyncExitStack() as stack:
+            fake_store = store_standin.Store()
+            port = await http.listen(stack, fake_store.handle)
+            client = store.StoreClient(
+                settings.StoreAddress(("127.0.0.1", port))
+            )
+            stack.callback(client.close)
+
+            async def write(slots: int) -> int:
+                spec = server_standin.server_spec("s", "g", 80, slots=slots)
+                await fake_store.put(objects.SERVERS_KIND, "s", spec)
+                listing = await client.list_all(objects.SERVERS_KIND)
+                cache.update_servers(listing.unwrap().objects)
+                return known.servers[instance].server.revision
+
+            copy = fake_store.copy()
+            written = [await write(slots) for slots in (3, 4, 5)]
+            await fake_store.restore(copy)
+            restored = await write(6)
+        assert known.servers[instance].server.slots == 6
+        assert revisions.number(restored) < revisions.number(written[-1])
