Accept connections that have arrived before the accepting ends

Cause: in a planned stop the listening socket was closed by a timer. If the event loop had been busy before, connections that had arrived meanwhile were still in the accept queue, and were reset with the requests that they carried.

Change: the event loop gets the opportunity to accept them first.

Evidence: test_connection_that_has_arrived_is_served failed with uvloop before.

--- a/berylweir/gateway/ingress/task.py
+++ b/berylweir/gateway/ingress/task.py
@@ -27,6 +27,9 @@
 # after two failed checks. The platform expects that requests of the first 3 s
 # are served; it counts from its signal, which may be handled a little later.
 _ACCEPT_S = 2.8
+# Time in which the event loop accepts the connections that have arrived before
+# the gateway stops accepting, in seconds.
+_ACCEPT_PENDING_S = 0.01
 # Interval at which connections are closed late in a shutdown, in seconds.
 _CLOSE_INTERVAL_S = 0.1
 # Time reserved at the end of the grace period before SIGKILL, in seconds.
@@ -238,6 +241,8 @@
         for connection in tuple(self._connections):
             connection.announce_close()
         await asyncio.sleep(accept_s)
+        # Connections that have arrived meanwhile are accepted first.
+        await asyncio.sleep(_ACCEPT_PENDING_S)
         # If too many VMs of the zone fail their checks, the load balancer keeps
         # using all of them. A refused connection makes callers connect to
         # another VM.
