Read long series of pipelined requests in parts

Cause: each request walked over all earlier ones, and the bound on the queue wasn't applied within a segment. In the same loop, the beginning of a request behind a whole one in one segment wasn't noticed, so that a connection could be closed while its rest was on its way.

Change: only the oldest request is limited, by the shortest deadline behind it, in a class of its own. Received bytes are parsed in parts, and wait while the queue is full; a caller isn't blamed for that time. The time of progress starts with a request's first byte.

--- a/berylweir/gateway/ingress/protocol.py
+++ b/berylweir/gateway/ingress/protocol.py
@@ -1,7 +1,6 @@
 """An HTTP/1.1 server connection that handles pipelined requests in parallel."""
 
 import asyncio
-import collections
 from collections.abc import Awaitable
 from collections.abc import Callable
 from collections.abc import Iterable
@@ -21,6 +20,7 @@
 from berylweir.gateway.forwarding import codec
 from berylweir.gateway.ingress import models as ingress
 from berylweir.gateway.ingress import rejections
+from berylweir.gateway.ingress import request_queue
 from berylweir.gateway.ingress import unanswered
 from berylweir.gateway.ingress import writer
 from berylweir.observability import counters
@@ -33,6 +33,9 @@
 # Time in which the event loop reads what has arrived before a connection is
 # closed, in seconds.
 _READ_S = 0.01
+# Received bytes that are parsed at once. A long series of short requests would
+# keep the event loop from other connections.
+_MAX_PARSED_BYTES = 4096
 # Digits of the longest `content-length` that is read.
 _MAX_LENGTH_DIGITS = 18
 
@@ -82,7 +85,7 @@
         self._transport: asyncio.Transport | None = None
         self._writer: writer.AnswerWriter | None = None
         self._task: asyncio.Task[None] | None = None
-        self._queue: collections.deque[ingress.Entry] = collections.deque()
+        self._queue = request_queue.RequestQueue()
         self._wake = asyncio.Event()
         self._url = b""
         self._headers: list[tuple[bytes, bytes]] = []
@@ -94,6 +97,8 @@
         self._is_closing = False
         self._requested_close: ingress.CloseReason | None = None
         self._is_parsable = True
+        # Bytes that wait until the queue has room.
+        self._unparsed = memoryview(b"")
         self._unanswered = unanswered.Recorder(metrics)
         self._rejections = rejections.RejectionWriter(memory, metrics)
         self._is_reading_paused = False
@@ -113,11 +118,22 @@
         self._task = self._loop.create_task(self._answer_requests())
 
     def data_received(self, data: bytes) -> None:
-        """Parses received bytes and enforces the limit on the head."""
-        if not self._is_parsable:
-            return
-        if self._closed is None and self._last_progress_s is None:
-            self._last_progress_s = self._loop.time()
+        """Parses received bytes, as far as the queue has room."""
+        self._unparsed = memoryview(
+            bytes(self._unparsed) + data if self._unparsed else data
+        )
+        self._parse_received()
+
+    def _parse_received(self) -> None:
+        while self._unparsed and self._is_parsable:
+            if self._is_reading_paused:
+                return
+            part = self._unparsed[:_MAX_PARSED_BYTES]
+            self._unparsed = self._unparsed[_MAX_PARSED_BYTES:]
+            self._parse(part)
+
+    def _parse(self, data: memoryview) -> None:
+        """Parses bytes, and enforces the limit on the head."""
         if self._incoming is None:
             self._received_head_bytes += len(data)
         try:
@@ -165,6 +181,8 @@
 
     def on_message_begin(self) -> None:
         """Resets the state for the next request."""
+        if self._closed is None:
+            self._last_progress_s = self._loop.time()
         self._url = b""
         self._headers = []
         self._drop_incoming()
@@ -266,22 +284,15 @@
             is_idempotent,
             incoming.stack,
         )
-        for earlier in self._queue:
-            match earlier:
-                case ingress.PendingRequest():
-                    earlier.limit_answer(pending.request.deadline_s)
-                case ingress.Violation() | ingress.NoMemory():
-                    pass
-                case _:
-                    typing.assert_never(earlier)
+        can_start = is_idempotent and self._queue.may_run_another
         self._queue.append(pending)
-        can_start = is_idempotent and all(
-            isinstance(p, ingress.PendingRequest) and p.keep_alive
-            for p in list(self._queue)[:-1]
-        )
         if can_start or len(self._queue) == 1:
             self._start_request(pending)
-        if len(self._queue) >= _MAX_PIPELINED and self._transport is not None:
+        if (
+            len(self._queue) >= _MAX_PIPELINED
+            and self._transport is not None
+            and not self._is_reading_paused
+        ):
             self._is_reading_paused = True
             self._transport.pause_reading()
         self._wake.set()
@@ -294,7 +305,7 @@
         Args:
             now_s: Time on the loop's clock, in seconds.
         """
-        if self._closed is not None:
+        if self._closed is not None or self._is_reading_paused:
             return
         if self._last_progress_s is not None:
             is_expired = (
@@ -390,7 +401,7 @@
 
     async def _answer_next(self) -> bool:
         """Answers the oldest request; returns whether the next may follow."""
-        match self._queue[0]:
+        match self._queue.oldest:
             case ingress.PendingRequest() as entry:
                 return await self._answer_request(entry)
             case ingress.Violation() | ingress.NoMemory() as failure:
@@ -422,16 +433,14 @@
                     is_head_request=entry.request.head.method == "HEAD",
                     closes_connection=closes_connection,
                 )
-        self._queue.popleft()
+        self._queue.remove_oldest()
         entry.stack.close()
         if closes_connection:
             self._drop_requests()
             return False
         self._idle_since_s = self._loop.time()
         if self._is_reading_paused and len(self._queue) < _MAX_PIPELINED // 2:
-            self._is_reading_paused = False
-            if self._transport is not None:
-                self._transport.resume_reading()
+            self._resume_reading()
         return True
 
     def _start_request(self, pending: ingress.PendingRequest) -> None:
@@ -456,10 +465,19 @@
         if self._transport is None:
             return
         if self._is_reading_paused:
-            self._is_reading_paused = False
-            self._transport.resume_reading()
+            self._resume_reading()
         await lingering.close(self._transport)
 
+    def _resume_reading(self) -> None:
+        """Continues to read once the queue has room."""
+        self._is_reading_paused = False
+        if self._last_progress_s is not None:
+            # The caller had to wait.
+            self._last_progress_s = self._loop.time()
+        self._parse_received()
+        if not self._is_reading_paused and self._transport is not None:
+            self._transport.resume_reading()
+
     def _reject(self, failure: ingress.Violation | ingress.NoMemory) -> None:
         if self._closed is not None:
             return
@@ -496,43 +514,13 @@
 
     def _drop_requests(self) -> None:
         """Cancels and records all requests without a complete answer."""
-        now_s = self._loop.time()
-        pending = [
-            e for e in self._queue if isinstance(e, ingress.PendingRequest)
-        ]
-        self._queue.clear()
-        for ahead, entry in enumerate(pending):
-            self._unanswered.record(
-                unanswered.Unanswered(
-                    entry.request.head,
-                    _stage_of(entry),
-                    now_s - entry.request.head_received_s,
-                    ahead,
-                    self._closed,
-                )
-            )
+        pending = self._queue.clear()
+        self._unanswered.record_all(
+            pending, self._incoming, self._closed, self._loop.time()
+        )
+        for entry in pending:
             entry.drop()
-        if self._incoming is not None:
-            self._unanswered.record(
-                unanswered.Unanswered(
-                    self._incoming.head,
-                    unanswered.Stage.RECEIVING,
-                    now_s - self._incoming.received_s,
-                    len(pending),
-                    self._closed,
-                )
-            )
-            self._drop_incoming()
-
-
-def _stage_of(entry: ingress.PendingRequest) -> unanswered.Stage:
-    if entry.is_being_written:
-        return unanswered.Stage.WRITING
-    if entry.task is None:
-        return unanswered.Stage.WAITING
-    if entry.task.done():
-        return unanswered.Stage.READY
-    return unanswered.Stage.RUNNING
+        self._drop_incoming()
 
 
 def _stated_length(headers: Iterable[requests.Header]) -> int:
--- a/berylweir/gateway/ingress/unanswered.py
+++ b/berylweir/gateway/ingress/unanswered.py
@@ -1,5 +1,6 @@
 """Records requests whose connection ends before their answer is complete."""
 
+from collections.abc import Sequence
 import dataclasses
 import enum
 import logging
@@ -64,6 +65,43 @@
         """
         self._metrics = metrics
 
+    def record_all(
+        self,
+        pending: Sequence[ingress.PendingRequest],
+        incoming: ingress.IncomingRequest | None,
+        close: ingress.Closed | None,
+        now_s: float,
+    ) -> None:
+        """Records the requests of a connection that has ended.
+
+        Args:
+            pending: Those that were received, in the order of their answers.
+            incoming: The one that was being received.
+            close: How the gateway closed the connection; None if the caller
+                did.
+            now_s: Time on the loop's clock, in seconds.
+        """
+        for ahead, entry in enumerate(pending):
+            self.record(
+                Unanswered(
+                    entry.request.head,
+                    _stage_of(entry),
+                    now_s - entry.request.head_received_s,
+                    ahead,
+                    close,
+                )
+            )
+        if incoming is not None:
+            self.record(
+                Unanswered(
+                    incoming.head,
+                    Stage.RECEIVING,
+                    now_s - incoming.received_s,
+                    len(pending),
+                    close,
+                )
+            )
+
     def record(self, unanswered: Unanswered) -> None:
         """Records a request."""
         stage = unanswered.stage
@@ -105,3 +143,11 @@
                 "idle_s": round(idle_s, 3),
             },
         )
+
+
+def _stage_of(entry: ingress.PendingRequest) -> Stage:
+    if entry.is_being_written:
+        return Stage.WRITING
+    if entry.task is None:
+        return Stage.WAITING
+    return Stage.READY if entry.task.done() else Stage.RUNNING
--- a/tests/gateway/ingress/test_closing.py
+++ b/tests/gateway/ingress/test_closing.py
@@ -177,6 +177,33 @@
             assert reply is not None
             assert (reply.status, reply.headers["connection"]) == (200, "close")
 
+    async def test_part_behind_a_whole_request_is_waited_for(self):
+        """Guards against dropping a request whose rest is on its way."""
+        async with open_connection() as (connection, caller):
+            writer = caller.writer
+            request = b"GET /r/%d HTTP/1.1\r\nHost: h\r\n\r\n"
+            writer.write(request % 3 + (request % 4)[:20])
+            assert (await caller.read()).status == 200
+            connection.announce_close()
+            stop(connection)
+            await asyncio.sleep(0.2)
+            writer.write((request % 4)[20:])
+            reply = await caller.read()
+            assert reply is not None
+            assert (reply.status, reply.headers["connection"]) == (200, "close")
+
+    async def test_long_series_is_read_in_parts(self):
+        """Guards against one caller that keeps the event loop busy."""
+        async with open_connection() as (connection, caller):
+            request = b"GET /r/1 HTTP/1.1\r\nHost: h\r\n\r\n"
+            count = 3000
+            caller.writer.write(request * count)
+            longest = 0
+            for _ in range(count):
+                assert (await caller.read()).status == 200
+                longest = max(longest, len(connection._queue))
+            assert longest < 200
+
     @pytest.mark.parametrize("decide", [stop, check_idle_limit])
     async def test_connection_without_a_request_is_closed(self, decide):
         """Guards against a stop that waits for idle connections."""
@@ -209,10 +236,10 @@
             await stop_task
 
 
-class TestIdleLimit:
-    """The limit on idle connections, which the operator may change."""
+class TestChangedLimits:
+    """Limits on callers, which the operator may change."""
 
-    async def test_raised_limit_holds_for_open_connections(self):
+    async def test_raised_idle_limit_holds_for_open_connections(self):
         """Guards against closing connections that callers may still use."""
         async with rig.Rig() as deployment:
             routes = [rig.route("r", "d")]
