Keep the limits of a request that is being received

Cause: since limits of the configuration apply to open connections, a lowered limit also rejected requests that were being received: 413 in the middle of an upload that had been allowed.

Change: a request keeps the limits with which it began.

Evidence: test_lowered_limit_spares_a_body_in_progress failed before.

--- a/berylweir/gateway/ingress/protocol.py
+++ b/berylweir/gateway/ingress/protocol.py
@@ -78,6 +78,8 @@
         self._find_traits = find_traits
         self._memory = memory
         self._get_limits = get_limits
+        # Limits of the request that is being received.
+        self._limits = get_limits()
         self._connections = connections
         self._metrics = metrics
         self._loop = asyncio.get_running_loop()
@@ -146,7 +148,7 @@
             self._reject(ingress.Violation(400, f"malformed request: {error}"))
         if (
             self._incoming is None
-            and self._received_head_bytes > self._get_limits().max_header_bytes
+            and self._received_head_bytes > self._limits.max_header_bytes
         ):
             self._is_parsable = False
             self._reject(ingress.Violation(431, "the headers are too large"))
@@ -183,6 +185,7 @@
         """Resets the state for the next request."""
         if self._closed is None:
             self._last_progress_s = self._loop.time()
+            self._limits = self._get_limits()
         self._url = b""
         self._headers = []
         self._drop_incoming()
@@ -219,7 +222,7 @@
         header_bytes = len(self._url) + sum(
             len(n) + len(v) for n, v in self._headers
         )
-        if header_bytes > self._get_limits().max_header_bytes:
+        if header_bytes > self._limits.max_header_bytes:
             self._reject(ingress.Violation(431, "the headers are too large"))
             return
         traits = self._find_traits(head)
@@ -231,7 +234,7 @@
             head, origin, traits, received_s, reservation, stack
         )
         stated_bytes = _stated_length(self._headers)
-        if stated_bytes > self._get_limits().max_body_bytes:
+        if stated_bytes > self._limits.max_body_bytes:
             self._reject(ingress.Violation(413, "the body is too large"))
             return
         if not reservation.hold(stated_bytes, body_memory.Upload()):
@@ -252,7 +255,7 @@
         incoming.body += body
         received_bytes = len(incoming.body)
         self._last_progress_s = self._loop.time()
-        if received_bytes > self._get_limits().max_body_bytes:
+        if received_bytes > self._limits.max_body_bytes:
             self._reject(ingress.Violation(413, "the body is too large"))
             return
         # A body in chunks states no length.
@@ -312,7 +315,7 @@
                 self._incoming is not None and self._incoming.is_expired(now_s)
             )
             waited_s = now_s - self._last_progress_s
-            if is_expired or waited_s > self._get_limits().header_timeout_s:
+            if is_expired or waited_s > self._limits.header_timeout_s:
                 self._reject(
                     ingress.Violation(408, "the request arrives too slowly")
                 )
--- a/tests/gateway/ingress/test_closing.py
+++ b/tests/gateway/ingress/test_closing.py
@@ -261,3 +261,26 @@
                 reply = await caller.read()
                 assert reply is not None
                 assert reply.status == 200
+
+    async def test_lowered_limit_spares_a_body_in_progress(self):
+        """Guards against refusing an upload that was allowed."""
+        async with rig.Rig() as deployment:
+            routes = [rig.route("r", "d", kind="unsafe")]
+            await deployment.configure({"d": False}, routes)
+            await deployment.add_server("s0", "d", service_s=0.0)
+            gateway = await deployment.add_gateway()
+            caller = await gateway.connect()
+            with contextlib.closing(caller.writer):
+                caller.send(
+                    "/r/1",
+                    "a1",
+                    method="POST",
+                    headers="Content-Length: 300\r\n",
+                )
+                await asyncio.sleep(0.2)
+                await deployment.configure(
+                    {"d": False}, routes, 2, max_body_bytes=100
+                )
+                await asyncio.sleep(1.0)
+                caller.writer.write(bytes(300))
+                assert (await caller.read()).status == 200
