Add a benchmark of pipelined requests

Cause: nothing measured what callers get that pipeline requests with different deadlines while some servers are slow, mute or flapping, so ways to answer them couldn't be compared.

--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 BIN := $(BERYLWEIR_VENV)/bin
 STAMP := $(BERYLWEIR_VENV)/.installed
 
-.PHONY: run test lint format bench bench-hop bench-idle crashes replacements slopes limits soak soak-programs history recovery rollout report
+.PHONY: run test lint format bench bench-hop bench-idle bench-pipelining crashes replacements slopes limits soak soak-programs history recovery rollout report
 
 $(STAMP): pyproject.toml
 	test -x $(BIN)/python || python3 -m venv $(BERYLWEIR_VENV)
@@ -52,6 +52,9 @@
 bench-idle: $(STAMP)
 	$(BIN)/python -m bench.idle
 
+bench-pipelining: $(STAMP)
+	$(BIN)/python -m bench.pipelining
+
 soak: $(STAMP)
 	SEED=$(or $(SEED),1) BERYLWEIR_SOAK_EXAMPLES=$(or $(EXAMPLES),2000) \
 	  $(BIN)/python -m pytest tests/keeper/test_machine.py
