Break off no request at a server in a planned stop for those behind it

Cause: the limit on the time of requests with others behind them didn't know of planned stops, in which what was sent to a server isn't broken off.

Change: at its limit, a request that a server has runs on if the gateway stops. One that waits is refused as before.

--- a/berylweir/gateway/exchange/handler.py
+++ b/berylweir/gateway/exchange/handler.py
@@ -100,7 +100,9 @@
             return self._answers.answer_no_route(request)
         group, state, timeout_ms = self._prepare(request, route)
         try:
-            async with request.answer_limit.enforce():
+            async with request.answer_limit.enforce(
+                lambda: self._may_give_up(state)
+            ):
                 return await self._serve(
                     request, route, group, state, timeout_ms
                 )
@@ -110,6 +112,13 @@
             self._answers.record_abandoned(request, route, state)
             raise
 
+    def _may_give_up(self, state: exchange.RequestState) -> bool:
+        """Returns whether a request may end before its deadline.
+
+        In a planned stop, what was sent to a server isn't broken off.
+        """
+        return state.sent_to is None or not self._send_limits.is_stopping
+
     async def _serve(
         self,
         request: exchange.CallerRequest,
--- a/berylweir/gateway/exchange/stopping.py
+++ b/berylweir/gateway/exchange/stopping.py
@@ -77,6 +77,11 @@
         self._phase: Phase = Serving()
         self._waits: dict[asyncio.Timeout, Limited] = {}
 
+    @property
+    def is_stopping(self) -> bool:
+        """Whether the gateway has been asked to stop."""
+        return isinstance(self._phase, Stopping)
+
     def begin_stop(self, stopping: Stopping) -> None:
         """Applies the limits of a stop, also to requests that wait already."""
         self._phase = stopping
--- a/tests/gateway/ingress/test_pipelining.py
+++ b/tests/gateway/ingress/test_pipelining.py
@@ -83,3 +83,15 @@
             replies = [await caller.read() for _ in range(2)]
             assert [r.status for r in replies] == [200, 200]
             assert len(deployment.servers["s0"].executions) == 1
+
+    async def test_request_at_a_server_is_not_given_up_in_a_planned_stop(self):
+        """Guards against breaking off work that the stop has time for."""
+        async with open_connection() as (deployment, gateway, caller):
+            caller.send("/slow/1", "a1", deadline_ms=_LONG_MS)
+            caller.send("/fast/1", "a2", deadline_ms=_SHORT_MS)
+            await rig.until(lambda: bool(deployment.servers["s0"].executions))
+            stop_task = asyncio.create_task(gateway.stop())
+            replies = [await caller.read() for _ in range(2)]
+            assert [r and r.status for r in replies] == [200, 200]
+            caller.writer.close()
+            await stop_task
