Decide by the route in force whether a request may be given up

Cause: a request that was received before the configuration counted as one that may not be repeated, also once it was handled by its route, so ready answers behind it were lost.

Change: the handler decides when the limit is reached; the connection only says when that is.

Evidence: test_request_received_before_the_configuration_is_limited failed before.

--- a/berylweir/gateway/exchange/handler.py
+++ b/berylweir/gateway/exchange/handler.py
@@ -101,7 +101,7 @@
         group, state, timeout_ms = self._prepare(request, route)
         try:
             async with request.answer_limit.enforce(
-                lambda: self._may_give_up(state)
+                lambda: self._may_give_up(route, state)
             ):
                 return await self._serve(
                     request, route, group, state, timeout_ms
@@ -112,12 +112,17 @@
             self._answers.record_abandoned(request, route, state)
             raise
 
-    def _may_give_up(self, state: exchange.RequestState) -> bool:
+    def _may_give_up(
+        self, route: models.Route, state: exchange.RequestState
+    ) -> bool:
         """Returns whether a request may end before its deadline.
 
-        In a planned stop, what was sent to a server isn't broken off.
+        The caller of one that may not be repeated couldn't tell whether it has
+        run. In a planned stop, what was sent to a server isn't broken off.
         """
-        return state.sent_to is None or not self._send_limits.is_stopping
+        return route.idempotency is models.Idempotency.IDEMPOTENT and (
+            state.sent_to is None or not self._send_limits.is_stopping
+        )
 
     async def _serve(
         self,
--- a/berylweir/gateway/ingress/models.py
+++ b/berylweir/gateway/ingress/models.py
@@ -139,15 +139,12 @@
         """Makes room for the answer to a request behind this one.
 
         A caller closes the connection at the shortest deadline of its requests,
-        and none of them is answered then. A request that may not be repeated
-        keeps its time, since its caller couldn't tell whether it has run.
+        and none of them is answered then.
 
         Args:
             next_deadline_s: Deadline of the request behind this one, on the
                 loop's clock, in seconds.
         """
-        if not self.is_idempotent:
-            return
         deadline_s = min(self.request.deadline_s, next_deadline_s)
         time_s = deadline_s - self.request.head_received_s
         lead_s = min(_MAX_ANSWER_LEAD_S, time_s * _ANSWER_LEAD_SHARE)
--- a/tests/gateway/ingress/test_pipelining.py
+++ b/tests/gateway/ingress/test_pipelining.py
@@ -3,6 +3,8 @@
 import asyncio
 import contextlib
 
+from berylweir.gateway.ingress import models as ingress
+from berylweir.gateway.ingress import task as ingress_task
 from tests.gateway import rig
 
 _SLOW_S = 3.0
@@ -95,3 +97,22 @@
             assert [r and r.status for r in replies] == [200, 200]
             caller.writer.close()
             await stop_task
+
+    async def test_request_received_before_the_configuration_is_limited(
+        self, monkeypatch
+    ):
+        """Guards against going by what wasn't known when it was received."""
+        find_traits = ingress_task.Ingress._find_traits
+
+        def know_nothing(*_) -> ingress.RequestTraits:
+            monkeypatch.setattr(
+                ingress_task.Ingress, "_find_traits", find_traits
+            )
+            return ingress.RequestTraits("", is_idempotent=False)
+
+        monkeypatch.setattr(ingress_task.Ingress, "_find_traits", know_nothing)
+        async with open_connection() as (_, _, caller):
+            caller.send("/slow/1", "a1", deadline_ms=_LONG_MS)
+            caller.send("/fast/1", "a2", deadline_ms=_SHORT_MS)
+            replies = await read_until(caller, _SHORT_MS / 1000.0)
+            assert [r.status for r in replies] == [504, 200]
