Keep the exit status of a program that is signalled while it ends

Cause: the handlers of signals end with the event loop. A SIGTERM or SIGHUP that came between that and the end of the process ended it with -15 or -1, which a supervisor takes for a crash.

Change: the signals are ignored once the supervisor tree has ended.

Evidence: test_signals_until_the_end_keep_the_exit_status failed before (-15).

--- a/berylweir/process.py
+++ b/berylweir/process.py
@@ -70,4 +70,9 @@
     try:
         await supervisor.run_root(root, stop_event)
     finally:
+        # The handlers end with the event loop, and a signal would then end the
+        # process with a status that supervisors take for a crash.
+        for number in (signal.SIGTERM, signal.SIGINT, signal.SIGHUP):
+            loop.remove_signal_handler(number)
+            signal.signal(number, signal.SIG_IGN)
         _LOGGER.info("stopped")
--- a/tests/gateway/test_stop.py
+++ b/tests/gateway/test_stop.py
@@ -225,6 +225,19 @@
             writer.close()
             assert await process.wait() == 0
 
+    async def test_signals_until_the_end_keep_the_exit_status(self, tmp_path):
+        """Guards against a late signal that makes a stop look like a crash."""
+        async with (
+            start_deployment(service_s=0.0) as (deployment, _),
+            start_program(deployment, tmp_path) as (_, process),
+        ):
+            while process.returncode is None:
+                for number in (signal.SIGTERM, signal.SIGHUP):
+                    with contextlib.suppress(ProcessLookupError):
+                        process.send_signal(number)
+                await asyncio.sleep(0.005)
+            assert process.returncode == 0
+
     async def test_second_interrupt_ends_at_once(self, tmp_path):
         """Guards against a program that a user can't stop from a terminal."""
         async with (
