Move the deployment and the live checks out of the soak's runner

Change: Deployment owns the store, the servers and their proxies, and LiveChecks the checks of owners and versions. No behaviour is changed.

--- a/berylweir/soak/runner.py
+++ b/berylweir/soak/runner.py
@@ -1,55 +1,35 @@
 """Runs one soak: starts the deployment, injects faults and checks results."""
 
 import asyncio
-import collections
 from collections.abc import Sequence
 import contextlib
-import functools
 import logging
 import pathlib
 import signal
 import time
 import typing
 
-from berylweir.platform import objects
 from berylweir.soak import callers
 from berylweir.soak import checks
+from berylweir.soak import deployment as deployments
 from berylweir.soak import disruptions
 from berylweir.soak import fault_schedule
 from berylweir.soak import gateways
 from berylweir.soak import harmful_request
 from berylweir.soak import isolation_checks
+from berylweir.soak import live_checks
 from berylweir.soak import models
 from berylweir.soak import origins
 from berylweir.soak import proxy
 from berylweir.soak import rollouts
 from berylweir.soak import statement_checks
-from berylweir.standin.gateway_platform import caller
-from berylweir.standin.gateway_platform import http
-from berylweir.standin.gateway_platform import server as server_standin
 from berylweir.standin.gateway_platform import store as store_standin
 
 _LOGGER = logging.getLogger(__name__)
 DEFAULT_VMS = 3
 _CALLERS_PER_GATEWAY = 4
-_SERVERS_PER_GROUP = 4
-# Time that a server takes for a request.
-_SERVICE_S = 0.02
-# Time from the crash of a server until its entry lapses, and until it is back,
-# in seconds.
-_ENTRY_LAPSE_S = 1.0
-_CRASH_DOWNTIME_S = 3.0
 # Signals that end a process whose program hasn't installed a handler yet.
 _TERMINATING_SIGNALS = (signal.SIGTERM, signal.SIGHUP)
-# Keys that are checked for having more than one owner.
-_SAMPLED_KEYS = (*range(0, 65_536, 4099), 65_535)
-_OWNERSHIP_CHECK_INTERVAL_S = 0.01
-_VERSION_CHECK_INTERVAL_S = 0.1
-# Time between two copies of the store, in seconds, and their number.
-_STORE_COPY_INTERVAL_S = 0.25
-_MAX_STORE_COPIES = 48
-# Deadline of a request that checks the configuration version in force.
-_VERSION_REQUEST_DEADLINE_MS = 500
 
 
 class Soak:
@@ -94,9 +74,6 @@
         self._has_rollouts = has_rollouts
         self._vms = vms
         self._has_harmful_request = has_harmful_request
-        self._crash_tasks: set[asyncio.Task[None]] = set()
-        # Servers that have crashed and aren't back.
-        self._crashed_servers: set[int] = set()
         self._has_isolations = has_isolations
         self._checks_isolated = checks_isolated
         self._isolations: list[models.Isolation] = []
@@ -104,12 +81,8 @@
         self._seed = seed
         self._seconds = seconds
         self._directory = directory
-        self._store = store_standin.Store()
-        self._servers: list[server_standin.Server] = []
-        self._server_ports: list[int] = []
-        # Number of times that each server was started again.
-        self._server_starts: collections.Counter[int] = collections.Counter()
-        self._server_proxies: list[proxy.FaultProxy] = []
+        self._deployment = deployments.Deployment(self._find_vm)
+        self._live_checks = live_checks.LiveChecks(self._deployment)
         self._store_proxies: list[proxy.FaultProxy] = []
         self._gateways: list[gateways.Gateway] = []
         self._planned_stops: list[models.PlannedStop] = []
@@ -119,12 +92,7 @@
         self._interruptions: list[models.Disruption] = []
         # Those of the store and the links to it.
         self._store_faults: list[models.Disruption] = []
-        # Copies of the store with their times on the monotonic clock.
-        self._store_copies: collections.deque[
-            tuple[float, store_standin.StoreCopy]
-        ] = collections.deque(maxlen=_MAX_STORE_COPIES)
         self._violations: list[str] = []
-        self._configuration_version = 0
         self._started_s = time.monotonic()
 
     @property
@@ -135,7 +103,7 @@
     @property
     def ended_by_harmful(self) -> int:
         """Servers that ended under the request that crashes them."""
-        return harmful_request.count_ended(self._servers)
+        return harmful_request.count_ended(self._deployment.servers)
 
     async def run(self) -> list[str]:
         """Runs the soak; returns a line for each violation of a guarantee."""
@@ -154,11 +122,13 @@
             ]
             async with asyncio.TaskGroup() as group:
                 check_tasks = [
-                    group.create_task(self._check_single_owner()),
-                    group.create_task(self._copy_store()),
+                    group.create_task(self._live_checks.check_single_owner()),
+                    group.create_task(self._deployment.copy_store()),
                 ]
                 for gateway in self._gateways:
-                    check = self._check_configuration_version(gateway)
+                    check = self._live_checks.check_configuration_version(
+                        gateway
+                    )
                     check_tasks.append(group.create_task(check))
                 harmful_caller = harmful_request.HarmfulCaller(
                     self._gateways, f"{self._seed}/harmful"
@@ -200,19 +170,20 @@
             self._violations.append("no request was answered")
         return (
             self._violations
+            + self._live_checks.violations
             + checks.find_violations(
                 exchanges,
-                self._servers,
+                self._deployment.servers,
                 self._planned_stops,
                 frozenset(self._killed_instances),
             )
             + statement_checks.find_violations(
-                self._servers,
+                self._deployment.servers,
                 {e.request_id: e.vm for e in exchanges},
                 self._disruptions,
             )
             + harmful_request.find_violations(
-                self._servers,
+                self._deployment.servers,
                 harmful_caller.vms,
                 self._interruptions,
                 self._store_faults,
@@ -220,22 +191,7 @@
         )
 
     async def _start_deployment(self, stack: contextlib.AsyncExitStack) -> None:
-        store_port = await http.listen(stack, self._store.handle)
-        await self._write_configuration()
-        for number in range(2 * _SERVERS_PER_GROUP):
-            group = ("keyed", "plain")[number % 2]
-            server = server_standin.Server(
-                f"s{number}", is_keyed=group == "keyed", service_s=_SERVICE_S
-            )
-            server_proxy = proxy.FaultProxy(
-                await http.listen(stack, server.handle), self._find_vm
-            )
-            server.crashing_paths = frozenset({harmful_request.PATH})
-            server.on_crash = functools.partial(self._on_crash, number)
-            self._servers.append(server)
-            self._server_proxies.append(server_proxy)
-            self._server_ports.append(await server_proxy.listen(stack))
-            await self._register_server(number)
+        store_port = await self._deployment.start(stack)
         for vm in range(self._vms):
             store_proxy = proxy.FaultProxy(store_port)
             self._store_proxies.append(store_proxy)
@@ -258,41 +214,6 @@
         process_id = origins.find_process(local_port, remote_port, vms)
         return vms[process_id] if process_id is not None else None
 
-    async def _register_server(self, number: int) -> None:
-        group = ("keyed", "plain")[number % 2]
-        await self._store.put(
-            "servers",
-            f"s{number}",
-            server_standin.server_spec(
-                f"s{number}",
-                group,
-                self._server_ports[number],
-                born_ms=1 + self._server_starts[number],
-            ),
-        )
-
-    async def _write_configuration(self) -> None:
-        """Writes a newer configuration to the store.
-
-        It has a route `/v<version>`, by which `_serves_version` can tell the
-        version that a gateway has in force.
-        """
-        self._configuration_version += 1
-
-        routes = [
-            server_standin.route_spec("safe", "plain"),
-            server_standin.route_spec("unsafe", "plain", kind="unsafe"),
-            server_standin.route_spec("keyed", "keyed"),
-            server_standin.route_spec(
-                f"v{self._configuration_version}", "plain"
-            ),
-        ]
-        groups = {"plain": False, "keyed": True}
-        new_configuration = server_standin.configuration_spec(
-            groups, routes, self._configuration_version
-        )
-        await self._store.put("config", "main", new_configuration)
-
     # Faults
 
     async def _inject_faults(self) -> None:
@@ -300,7 +221,7 @@
             self._seed,
             self._seconds,
             self._vms,
-            len(self._servers),
+            len(self._deployment.servers),
             has_isolations=self._has_isolations,
         )
         if self._has_rollouts:
@@ -365,39 +286,39 @@
                     )
                 )
             case models.ServerLinkFault(server, link_fault, duration_s):
-                await self._server_proxies[server].inject(
+                await self._deployment.server_proxies[server].inject(
                     link_fault, duration_s
                 )
             case models.Isolate():
                 await self._isolate(fault)
             case models.LateWrites(count):
-                self._store.next_faults += count * [
+                self._deployment.store.next_faults += count * [
                     store_standin.Fault.APPLY_LATE
                 ]
                 await asyncio.sleep(1.0)
-                await self._store.apply_late_writes()
+                await self._deployment.store.apply_late_writes()
             case models.Reconfigure():
-                await self._write_configuration()
+                await self._deployment.write_configuration()
             case models.Deregister(server, duration_s):
                 name = f"s{server}"
-                if self._store.get("servers", name) is not None:
-                    await self._store.remove("servers", name)
+                if self._deployment.store.get("servers", name) is not None:
+                    await self._deployment.store.remove("servers", name)
                     await asyncio.sleep(duration_s)
-                    await self._register_server(server)
+                    await self._deployment.register_server(server)
             case (
                 models.LimitServer()
                 | models.PauseServer()
                 | models.ReplaceServer()
             ):
-                await self._make_statement(fault)
+                await self._deployment.make_statement(fault)
             case models.RestoreStore(age_s, away_s):
-                await self._restore_store(age_s, away_s)
+                await self._deployment.restore_store(age_s, away_s)
             case _:
                 typing.assert_never(fault)
 
     async def _roll_out(self, rollout: models.Rollout) -> None:
         """Replaces the build of gateways one after the other."""
-        holder = self._find_holder()
+        holder = self._deployment.lease_holder
         async with asyncio.TaskGroup() as group:
             if rollout.freeze_s > 0.0 and holder is not None:
                 freeze = models.Freeze(holder, rollout.freeze_s)
@@ -407,37 +328,6 @@
                 await self._apply_fault(models.Stop(vm))
                 await asyncio.sleep(rollout.pause_s)
 
-    def _find_holder(self) -> int | None:
-        """Returns the number of the VM that holds the lease, if one does."""
-        lease = self._store.get(objects.GATEWAY_KIND, objects.LEASE_NAME)
-        if lease is None or not lease["spec"]["holder"]:
-            return None
-        return int(lease["spec"]["holder"].removeprefix("vm-"))
-
-    def _on_crash(self, number: int) -> None:
-        """Ends a server, which comes back as another instance."""
-        if number in self._crashed_servers:
-            return
-        self._crashed_servers.add(number)
-        task = asyncio.create_task(self._crash_server(number))
-        self._crash_tasks.add(task)
-        task.add_done_callback(self._crash_tasks.discard)
-
-    async def _crash_server(self, number: int) -> None:
-        server = self._servers[number]
-        server.restart()
-        async with asyncio.TaskGroup() as group:
-            group.create_task(
-                self._server_proxies[number].refuse(_CRASH_DOWNTIME_S)
-            )
-            await asyncio.sleep(_ENTRY_LAPSE_S)
-            if self._store.get("servers", server.name) is not None:
-                await self._store.remove("servers", server.name)
-        server.restart()
-        self._crashed_servers.remove(number)
-        self._server_starts[number] += 1
-        await self._register_server(number)
-
     async def _isolate(self, fault: models.Isolate) -> None:
         """Cuts gateways off from all servers for some time."""
         start_s = time.monotonic() - self._started_s
@@ -446,7 +336,7 @@
                 server_proxy.inject(
                     fault.link_fault, fault.duration_s, fault.vms
                 )
-                for server_proxy in self._server_proxies
+                for server_proxy in self._deployment.server_proxies
             )
         )
         end_s = time.monotonic() - self._started_s
@@ -454,55 +344,6 @@
             models.Isolation(vm, start_s, end_s) for vm in fault.vms
         ]
 
-    async def _make_statement(
-        self,
-        fault: models.LimitServer | models.PauseServer | models.ReplaceServer,
-    ) -> None:
-        """Has a server say something of itself for some time."""
-        server = self._servers[fault.server]
-        match fault:
-            case models.LimitServer(_, per_s, duration_s):
-                server.limit_per_s = per_s
-                await asyncio.sleep(duration_s)
-                server.limit_per_s = None
-            case models.PauseServer(_, pause_s, duration_s):
-                server.rejection_pause_s = pause_s
-                server.is_rejecting = True
-                await asyncio.sleep(duration_s)
-                server.is_rejecting = False
-                server.rejection_pause_s = None
-            case models.ReplaceServer(number, duration_s):
-                if server.is_leaving:
-                    return
-                server.is_leaving = True
-                await asyncio.sleep(duration_s)
-                server.restart()
-                self._server_starts[number] += 1
-                await self._register_server(number)
-
-    async def _restore_store(self, age_s: float, away_s: float) -> None:
-        """Has the store come back from the newest copy of an age or more.
-
-        The operator and the servers then write theirs again.
-        """
-        self._store.default_fault = store_standin.Fault.RESET
-        await asyncio.sleep(away_s)
-        now_s = time.monotonic()
-        copies = [c for at_s, c in self._store_copies if at_s <= now_s - age_s]
-        if copies:
-            await self._store.restore(copies[-1])
-            self._store_copies.clear()
-        self._store.default_fault = None
-        await self._write_configuration()
-        for number in range(len(self._servers)):
-            await self._register_server(number)
-
-    async def _copy_store(self) -> None:
-        """Copies the store now and then, for restorations."""
-        while True:
-            self._store_copies.append((time.monotonic(), self._store.copy()))
-            await asyncio.sleep(_STORE_COPY_INTERVAL_S)
-
     async def _stop_gateway(self, gateway: gateways.Gateway) -> None:
         instance = gateway.instance
         status, signalled_s = await gateway.stop_and_restart()
@@ -522,66 +363,3 @@
             pass
         elif (stop.vm, stop.instance) not in self._killed_instances:
             self._violations.append(f"vm-{stop.vm} ended with status {status}")
-
-    # Checks during the soak
-
-    async def _check_single_owner(self) -> None:
-        """Records a violation if several servers own a sampled key."""
-        while True:
-            for key in _SAMPLED_KEYS:
-                owners = [s.name for s in self._servers if s.holds(key)]
-                if len(owners) > 1:
-                    self._violations.append(f"key {key} held by {owners}")
-            await asyncio.sleep(_OWNERSHIP_CHECK_INTERVAL_S)
-
-    async def _check_configuration_version(
-        self, gateway: gateways.Gateway
-    ) -> None:
-        """Records a violation if an instance goes back to an older version.
-
-        A restart of the gateway may bring an older version back.
-        """
-        instance, newest_version = 0, 0
-        while True:
-            await asyncio.sleep(_VERSION_CHECK_INTERVAL_S)
-            if gateway.instance != instance:
-                instance, newest_version = gateway.instance, 0
-            if (
-                newest_version > 1
-                and await self._serves_version(gateway, newest_version - 1)
-                and gateway.instance == instance
-            ):
-                self._violations.append(
-                    f"vm-{gateway.vm} went back to version {newest_version - 1}"
-                )
-            for version in range(
-                self._configuration_version, newest_version, -1
-            ):
-                if await self._serves_version(gateway, version):
-                    if gateway.instance == instance:
-                        newest_version = version
-                    break
-
-    async def _serves_version(
-        self, gateway: gateways.Gateway, version: int
-    ) -> bool:
-        """Returns whether the gateway has a configuration version in force."""
-        request = caller.encode_request(
-            f"/v{version}/x",
-            f"p{gateway.vm}-{time.monotonic_ns()}",
-            _VERSION_REQUEST_DEADLINE_MS,
-            closes_connection=True,
-        )
-        try:
-            async with asyncio.timeout(1.0):
-                reader, writer = await asyncio.open_connection(
-                    "127.0.0.1", gateway.port
-                )
-                try:
-                    writer.write(request)
-                    response = await caller.read_response(reader)
-                finally:
-                    writer.close()
-        except (OSError, TimeoutError, EOFError):
-            return False  # The gateway is down or frozen.
-        return response.status == 200
