Leave the exit status of gateways to the event loop of the soak

Cause: Process.send_signal polls the process first, and takes the exit status of one that has just ended. The event loop then reports 255 in its place ("Unknown child process pid"), seen in two of eight soaks with more signals.

Change: signals are sent with os.kill; a process that has ended is ignored.

--- a/berylweir/soak/gateways.py
+++ b/berylweir/soak/gateways.py
@@ -182,8 +182,11 @@
             self._send_signal(signal.SIGHUP)
 
     def _send_signal(self, signal_number: signal.Signals) -> None:
+        # `Process.send_signal` would take the exit status of a process that has
+        # just ended from the event loop.
         if self._process is not None and self._process.returncode is None:
-            self._process.send_signal(signal_number)
+            with contextlib.suppress(ProcessLookupError):
+                os.kill(self._process.pid, signal_number)
 
     async def _start_process(self) -> None:
         self._instance += 1
@@ -203,5 +206,5 @@
 
     async def _kill_process(self) -> None:
         if self._process is not None and self._process.returncode is None:
-            self._process.kill()
+            self._send_signal(signal.SIGKILL)
             await self._process.wait()
