Pipeline requests amid overlapping planned work in the soak

Requests behind another one that reached no server are excused late in a stop only, from 2.6 s after SIGTERM on. Servers record when responses were ready; stalls of the soak's own process are measured and subtracted.

--- a/berylweir/soak/deployment.py
+++ b/berylweir/soak/deployment.py
@@ -15,8 +15,16 @@
 from berylweir.standin.gateway_platform import store as store_standin
 
 _SERVERS_PER_GROUP = 4
+# Servers with faults of their own; those of the slow group have none.
+FAULTY_SERVERS = 2 * _SERVERS_PER_GROUP
 # Time that a server takes for a request.
 _SERVICE_S = 0.02
+# The same for the servers of the slow group.
+_SLOW_SERVICES_S = (0.7, 1.6)
+_SLOTS = 3
+_SLOW_SLOTS = 32
+_SLOW_TIMEOUT_MS = 4000
+_IDLE_TIMEOUT_MS = 15_000
 # Time from the crash of a server until its entry lapses, and until it is back,
 # in seconds.
 _ENTRY_LAPSE_S = 1.0
@@ -29,14 +37,23 @@
 class Deployment:
     """Owns the store, the servers and the proxies in front of the servers."""
 
-    def __init__(self, find_vm: proxy.FindVm) -> None:
+    def __init__(
+        self, find_vm: proxy.FindVm, *, has_slow_group: bool = False
+    ) -> None:
         """Creates a deployment that has not started.
 
         Args:
             find_vm: Finds the VM that has opened a connection to a server's
                 proxy.
+            has_slow_group: Whether there are servers that take long for a
+                request, and a route to them.
         """
         self._find_vm = find_vm
+        self._has_slow_group = has_slow_group
+        # Limit and number of unused routes of the next configuration.
+        self._idle_timeout_ms = _IDLE_TIMEOUT_MS
+        self._extra_routes = 0
+        self._idle_limits: list[models.IdleLimit] = []
         self._store = store_standin.Store()
         self._servers: list[server_standin.Server] = []
         self._server_ports: list[int] = []
@@ -67,11 +84,26 @@
         """The proxy in front of each server."""
         return self._server_proxies
 
+    @property
+    def link_faults(self) -> dict[str, list[models.LinkDisruption]]:
+        """Past faults of the connections to each server, by its name."""
+        return {
+            server.name: server_proxy.past_faults
+            for server, server_proxy in zip(
+                self._servers, self._server_proxies, strict=True
+            )
+        }
+
     @property
     def configuration_version(self) -> int:
         """Version of the newest configuration that was written."""
         return self._configuration_version
 
+    @property
+    def idle_limits(self) -> list[models.IdleLimit]:
+        """Idle limit of each version of the configuration, in their order."""
+        return self._idle_limits
+
     @property
     def lease_holder(self) -> int | None:
         """Number of the VM that holds the lease; None if none does."""
@@ -88,17 +120,22 @@
         """
         store_port = await http.listen(stack, self._store.handle)
         await self.write_configuration()
-        for number in range(2 * _SERVERS_PER_GROUP):
-            await self._start_server(stack, number)
+        for number in range(FAULTY_SERVERS):
+            await self._start_server(stack, number, _SERVICE_S)
+        if self._has_slow_group:
+            for service_s in _SLOW_SERVICES_S:
+                number = len(self._servers)
+                await self._start_server(stack, number, service_s)
         return store_port
 
     async def _start_server(
-        self, stack: contextlib.AsyncExitStack, number: int
+        self, stack: contextlib.AsyncExitStack, number: int, service_s: float
     ) -> None:
         server = server_standin.Server(
             f"s{number}",
             is_keyed=_group_of(number) == "keyed",
-            service_s=_SERVICE_S,
+            slots=_slots_of(number),
+            service_s=service_s,
         )
         server_proxy = proxy.FaultProxy(
             await http.listen(stack, server.handle), self._find_vm
@@ -120,6 +157,7 @@
                 _group_of(number),
                 self._server_ports[number],
                 born_ms=1 + self._server_starts[number],
+                slots=_slots_of(number),
             ),
         )
 
@@ -130,7 +168,13 @@
         a gateway has in force.
         """
         self._configuration_version += 1
-
+        self._idle_limits.append(
+            models.IdleLimit(
+                self._configuration_version,
+                time.monotonic(),
+                self._idle_timeout_ms / 1000.0,
+            )
+        )
         routes = [
             server_standin.route_spec("safe", "plain"),
             server_standin.route_spec("unsafe", "plain", kind="unsafe"),
@@ -140,11 +184,33 @@
             ),
         ]
         groups = {"plain": False, "keyed": True}
+        if self._has_slow_group:
+            groups["slow"] = False
+            routes.append(
+                server_standin.route_spec(
+                    "slow", "slow", timeout_ms=_SLOW_TIMEOUT_MS
+                )
+            )
+        routes += [
+            server_standin.route_spec(f"extra{number}", "plain")
+            for number in range(self._extra_routes)
+        ]
         new_configuration = server_standin.configuration_spec(
-            groups, routes, self._configuration_version
+            groups,
+            routes,
+            self._configuration_version,
+            idle_timeout_ms=self._idle_timeout_ms,
         )
         await self._store.put("config", "main", new_configuration)
 
+    async def change_configuration(
+        self, change: models.ChangeConfiguration
+    ) -> None:
+        """Writes a newer configuration, and keeps its values for later ones."""
+        self._idle_timeout_ms = change.idle_timeout_ms
+        self._extra_routes = change.extra_routes
+        await self.write_configuration()
+
     async def make_statement(
         self,
         fault: models.LimitServer | models.PauseServer | models.ReplaceServer,
@@ -221,4 +287,11 @@
 
 def _group_of(number: int) -> str:
     """Returns the group of a server."""
+    if number >= FAULTY_SERVERS:
+        return "slow"
     return ("keyed", "plain")[number % 2]
+
+
+def _slots_of(number: int) -> int:
+    """Returns how many requests a server runs at the same time."""
+    return _SLOW_SLOTS if _group_of(number) == "slow" else _SLOTS
--- a/berylweir/soak/disruptions.py
+++ b/berylweir/soak/disruptions.py
@@ -8,7 +8,12 @@
 def interrupted_vms(fault: models.Fault) -> Sequence[int]:
     """Returns the VMs whose gateways a fault restarts or freezes."""
     match fault:
-        case models.Kill(vm, _) | models.Stop(vm) | models.Freeze(vm, _):
+        case (
+            models.Kill(vm, _)
+            | models.Stop(vm)
+            | models.SignalStopping(vm, _)
+            | models.Freeze(vm, _)
+        ):
             return (vm,)
         case _:
             return ()
@@ -20,6 +25,7 @@
         case (
             models.Kill(vm, _)
             | models.Stop(vm)
+            | models.SignalStopping(vm, _)
             | models.Freeze(vm, _)
             | models.StoreLinkFault(int(vm), _, _)
         ):
--- a/berylweir/soak/gateways.py
+++ b/berylweir/soak/gateways.py
@@ -1,6 +1,7 @@
 """Gateway programs that run as processes, and faults of these processes."""
 
 import asyncio
+from collections.abc import Iterator
 from collections.abc import Sequence
 import contextlib
 import os
@@ -10,6 +11,7 @@
 import time
 
 from berylweir.platform import settings
+from berylweir.soak import models
 from berylweir.standin import ports
 
 _LOOPBACK = "127.0.0.1"
@@ -60,6 +62,9 @@
         # build changes with each start.
         self._selected_build: int | None = None
         self._newest_answering_instance = 0
+        self._unplanned_faults: list[models.Disruption] = []
+        self._terminated_s: dict[int, float] = {}
+        self._is_stopping = False
         # Serialises the faults of this VM; those of several VMs may overlap.
         self._lock = asyncio.Lock()
 
@@ -80,6 +85,16 @@
             return self._builds[self._selected_build % len(self._builds)]
         return self._builds[(self._vm + self._instance) % len(self._builds)]
 
+    @property
+    def unplanned_faults(self) -> list[models.Disruption]:
+        """Times in which the program was killed or frozen, once they ended."""
+        return self._unplanned_faults
+
+    @property
+    def terminated_s(self) -> dict[int, float]:
+        """When each instance got SIGTERM, on the monotonic clock, in s."""
+        return self._terminated_s
+
     @property
     def instance(self) -> int:
         """Number of the program's current instance; 0 before the first."""
@@ -142,9 +157,10 @@
             downtime_s: Time between the end and the new start, in seconds.
         """
         async with self._lock:
-            await self._kill_process()
-            await asyncio.sleep(downtime_s)
-            await self._start_process()
+            with self._record_unplanned():
+                await self._kill_process()
+                await asyncio.sleep(downtime_s)
+                await self._start_process()
 
     async def stop_and_restart(self) -> tuple[int, float]:
         """Asks the program to end by SIGTERM, and starts it again.
@@ -161,7 +177,10 @@
             if process is None:
                 return 0, signalled_s
             self._send_signal(signal.SIGTERM)
+            self._terminated_s[self._instance] = signalled_s
+            self._is_stopping = True
             status = await process.wait()
+            self._is_stopping = False
             await self._start_process()
             return status, signalled_s
 
@@ -172,15 +191,34 @@
             duration_s: Time until it continues, in seconds.
         """
         async with self._lock:
-            self._send_signal(signal.SIGSTOP)
-            await asyncio.sleep(duration_s)
-            self._send_signal(signal.SIGCONT)
+            with self._record_unplanned():
+                self._send_signal(signal.SIGSTOP)
+                await asyncio.sleep(duration_s)
+                self._send_signal(signal.SIGCONT)
 
     async def reload_settings(self) -> None:
         """Has the program read its settings file again, by SIGHUP."""
         async with self._lock:
             self._send_signal(signal.SIGHUP)
 
+    def signal_while_stopping(self, signal_number: signal.Signals) -> bool:
+        """Sends one more signal to the program if it is being stopped.
+
+        Returns:
+            Whether it is.
+        """
+        if self._is_stopping:
+            self._send_signal(signal_number)
+        return self._is_stopping
+
+    @contextlib.contextmanager
+    def _record_unplanned(self) -> Iterator[None]:
+        start_s = time.monotonic()
+        yield
+        self._unplanned_faults.append(
+            models.Disruption(self._vm, start_s, time.monotonic())
+        )
+
     def _send_signal(self, signal_number: signal.Signals) -> None:
         # `Process.send_signal` would take the exit status of a process that has
         # just ended from the event loop.
--- a/berylweir/soak/live_checks.py
+++ b/berylweir/soak/live_checks.py
@@ -6,6 +6,7 @@
 
 from berylweir.soak import deployment as deployments
 from berylweir.soak import gateways
+from berylweir.soak import models
 from berylweir.standin.gateway_platform import caller
 
 # Keys that are checked for having more than one owner.
@@ -27,12 +28,18 @@
         """
         self._deployment = deployment
         self._violations: list[str] = []
+        self._versions_in_force: list[models.VersionInForce] = []
 
     @property
     def violations(self) -> list[str]:
         """A line for each violation so far."""
         return self._violations
 
+    @property
+    def versions_in_force(self) -> list[models.VersionInForce]:
+        """Versions of the configuration that gateways had, in their order."""
+        return self._versions_in_force
+
     async def check_single_owner(self) -> typing.NoReturn:
         """Records a violation if several servers own a sampled key."""
         while True:
@@ -70,6 +77,11 @@
                 if await _serves_version(gateway, version):
                     if gateway.instance == instance:
                         newest_version = version
+                        self._versions_in_force.append(
+                            models.VersionInForce(
+                                gateway.vm, instance, version, time.monotonic()
+                            )
+                        )
                     break
 
 
--- a/berylweir/soak/models.py
+++ b/berylweir/soak/models.py
@@ -1,5 +1,6 @@
 """Faults of a soak, and records of its requests and planned stops."""
 
+from collections.abc import Container
 import dataclasses
 import enum
 
@@ -123,6 +124,37 @@
     """Writes a newer configuration."""
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class ChangeConfiguration:
+    """Writes a newer configuration with other limits and routes.
+
+    Attributes:
+        idle_timeout_ms: Time for which an idle connection is kept, in ms.
+        extra_routes: Number of routes in addition to those that are used.
+    """
+
+    idle_timeout_ms: int
+    extra_routes: int
+
+
+class PlannedSignal(enum.Enum):
+    """Signal that the platform sends to a gateway."""
+
+    TERMINATE = "terminate"  # SIGTERM
+    RELOAD = "reload"  # SIGHUP
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class SignalStopping:
+    """Sends a signal to a gateway at once, even while it is being stopped.
+
+    A gateway that isn't being stopped gets it as by `Stop` or `Reload`.
+    """
+
+    vm: int
+    signal: PlannedSignal
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Deregister:
     """Removes a backend server from the store for `duration_s` seconds."""
@@ -214,6 +246,8 @@
     | ServerLinkFault
     | LateWrites
     | Reconfigure
+    | ChangeConfiguration
+    | SignalStopping
     | Deregister
     | LimitServer
     | PauseServer
@@ -264,6 +298,102 @@
     seal: str = ""
 
 
+class RequestEnd(enum.Enum):
+    """How a pipelined request ended for its caller."""
+
+    ANSWERED = "answered"
+    CLOSED_BY_GATEWAY = "closed_by_gateway"
+    LEFT_BY_CALLER = "left_by_caller"
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class PipelinedExchange:
+    """A request that was sent behind others, or before others.
+
+    Attributes:
+        exchange: The request and its response. It ended when the response
+            arrived, when the gateway closed the connection or announced that,
+            or when the caller left.
+        deadline_s: Its deadline, in seconds from the start of the soak.
+        requests_ahead: Requests in front of it without an answer when it was
+            sent.
+        end: How it ended.
+    """
+
+    exchange: Exchange
+    deadline_s: float
+    requests_ahead: int
+    end: RequestEnd
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class IdleClose:
+    """A connection that a gateway closed while no request was on it.
+
+    Times are in seconds from the start of the soak.
+
+    Attributes:
+        vm: Number of the gateway's VM.
+        instance: Number of the gateway's instance.
+        idle_since_s: Start of the connection or of its last request's end.
+        closed_s: When it was closed.
+    """
+
+    vm: int
+    instance: int
+    idle_since_s: float
+    closed_s: float
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class IdleLimit:
+    """Idle limit of a version of the configuration.
+
+    Attributes:
+        version: The version.
+        written_s: When it was written, on the monotonic clock, in seconds.
+        limit_s: Time for which an idle connection is kept, in seconds.
+    """
+
+    version: int
+    written_s: float
+    limit_s: float
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class VersionInForce:
+    """A version of the configuration that was seen in force at a gateway.
+
+    Attributes:
+        vm: Number of the gateway's VM.
+        instance: Number of the gateway's instance.
+        version: The version.
+        seen_s: When it was seen, on the monotonic clock, in seconds.
+    """
+
+    vm: int
+    instance: int
+    version: int
+    seen_s: float
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class LinkDisruption:
+    """A fault of the connections to one server.
+
+    Times are on the monotonic clock, in seconds.
+
+    Attributes:
+        start_s: Start of the fault.
+        end_s: End of the fault.
+        vms: VMs whose connections it affects; None for all.
+    """
+
+    start_s: float
+    end_s: float
+    vms: Container[int] | None
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Disruption:
     """A time in which a gateway's process or its links were disturbed.
--- a/berylweir/soak/program.py
+++ b/berylweir/soak/program.py
@@ -22,6 +22,7 @@
     check_isolated: bool = False,
     harmful: bool = False,
     rollouts: bool = False,
+    pipelining: bool = False,
     builds: list[pathlib.Path] | None = None,
 ) -> None:
     """Runs one soak of the gateway programs and prints the violations.
@@ -42,6 +43,9 @@
             faults: a canary, an upgrade that stops half-way and is completed or
             rolled back, and one more change. All gateways begin with the first
             of two builds.
+        pipelining: Also have callers send requests before the earlier ones are
+            answered, and planned stops, signals and changes of the
+            configuration overlap.
         builds: Source trees of the builds that each gateway runs in turn, from
             one start to the next; by default that of this program.
     """
@@ -58,6 +62,7 @@
             checks_isolated=check_isolated,
             has_harmful_request=harmful,
             has_rollouts=rollouts,
+            has_pipelining=pipelining,
             builds=[build.resolve() for build in builds or ()],
         )
         violations = asyncio.run(_run_soak(soak_run))
@@ -67,6 +72,8 @@
         print(f"seed {seed}: {soak_run.ended_by_harmful} servers ended")
     if isolation:
         print(f"seed {seed}: {soak_run.isolated_counts}")
+    if pipelining:
+        print(f"seed {seed}: {soak_run.pipelining_result}")
     print(f"seed {seed}: {len(violations)} broken")
     if violations:
         sys.exit(1)
--- a/berylweir/soak/proxy.py
+++ b/berylweir/soak/proxy.py
@@ -7,6 +7,7 @@
 import dataclasses
 import socket
 import struct
+import time
 
 from berylweir.soak import models
 from berylweir.standin import ports
@@ -47,12 +48,18 @@
         self._target_port = port
         self._find_vm = find_vm
         self._active_faults: list[_ActiveFault] = []
+        self._past_faults: list[models.LinkDisruption] = []
         # The sockets of both sides of each connection, with its VM.
         self._writers: dict[asyncio.StreamWriter, int | None] = {}
         self._fault_end_event = asyncio.Event()
         self._listener: asyncio.Server | None = None
         self._port = 0
 
+    @property
+    def past_faults(self) -> list[models.LinkDisruption]:
+        """Faults that have ended."""
+        return self._past_faults
+
     async def listen(self, stack: contextlib.AsyncExitStack) -> int:
         """Listens until `stack` closes; returns the TCP port to connect to."""
         self._port = ports.free_ports(1)[0]
@@ -68,9 +75,13 @@
         Args:
             duration_s: How long connections are refused, in seconds.
         """
+        start_s = time.monotonic()
         self._stop_listening()
         await asyncio.sleep(duration_s)
         await self._start_listening()
+        self._past_faults.append(
+            models.LinkDisruption(start_s, time.monotonic(), None)
+        )
 
     async def _start_listening(self) -> None:
         self._listener = await asyncio.start_server(
@@ -99,6 +110,7 @@
         """
         fault = _ActiveFault(link_fault, vms)
         self._active_faults.append(fault)
+        start_s = time.monotonic()
         if link_fault is models.LinkFault.RESET:
             for writer, vm in tuple(self._writers.items()):
                 if fault.affects(vm):
@@ -107,6 +119,9 @@
             await asyncio.sleep(duration_s)
         finally:
             self._active_faults.remove(fault)
+            self._past_faults.append(
+                models.LinkDisruption(start_s, time.monotonic(), vms)
+            )
             self._fault_end_event.set()
             self._fault_end_event = asyncio.Event()
 
--- a/berylweir/soak/runner.py
+++ b/berylweir/soak/runner.py
@@ -20,14 +20,19 @@
 from berylweir.soak import live_checks
 from berylweir.soak import models
 from berylweir.soak import origins
+from berylweir.soak import pipelining_callers
+from berylweir.soak import pipelining_checks
+from berylweir.soak import planned_series
 from berylweir.soak import proxy
 from berylweir.soak import rollouts
+from berylweir.soak import stalls
 from berylweir.soak import statement_checks
 from berylweir.standin.gateway_platform import store as store_standin
 
 _LOGGER = logging.getLogger(__name__)
 DEFAULT_VMS = 3
 _CALLERS_PER_GATEWAY = 4
+_PIPELINING_CALLERS_PER_GATEWAY = 4
 # Signals that end a process whose program hasn't installed a handler yet.
 _TERMINATING_SIGNALS = (signal.SIGTERM, signal.SIGHUP)
 
@@ -51,6 +56,7 @@
         checks_isolated: bool = False,
         has_harmful_request: bool = False,
         has_rollouts: bool = False,
+        has_pipelining: bool = False,
         builds: Sequence[pathlib.Path] = (),
     ) -> None:
         """Creates a soak that has not started.
@@ -67,11 +73,15 @@
                 server that runs it.
             has_rollouts: Whether the build of the gateways is changed by
                 rollouts only, instead of by each restart.
+            has_pipelining: Whether callers pipeline requests, and planned work
+                comes in series that overlap.
             builds: Source trees of the builds that each gateway runs in turn;
                 none for the build of this process.
         """
         self._builds = builds
         self._has_rollouts = has_rollouts
+        self._has_pipelining = has_pipelining
+        self._pipelining_result: pipelining_checks.Result | None = None
         self._vms = vms
         self._has_harmful_request = has_harmful_request
         self._has_isolations = has_isolations
@@ -81,7 +91,10 @@
         self._seed = seed
         self._seconds = seconds
         self._directory = directory
-        self._deployment = deployments.Deployment(self._find_vm)
+        self._deployment = deployments.Deployment(
+            self._find_vm, has_slow_group=has_pipelining
+        )
+        self._stall_meter = stalls.StallMeter()
         self._live_checks = live_checks.LiveChecks(self._deployment)
         self._store_proxies: list[proxy.FaultProxy] = []
         self._gateways: list[gateways.Gateway] = []
@@ -100,6 +113,11 @@
         """Requests that isolated gateways have served, after `run`."""
         return self._isolated_counts
 
+    @property
+    def pipelining_result(self) -> pipelining_checks.Result | None:
+        """Result of the checks on pipelined requests, after `run`."""
+        return self._pipelining_result
+
     @property
     def ended_by_harmful(self) -> int:
         """Servers that ended under the request that crashes them."""
@@ -120,10 +138,12 @@
                 for gateway in self._gateways
                 for number in range(_CALLERS_PER_GATEWAY)
             ]
+            pipelining = self._create_pipelining_callers()
             async with asyncio.TaskGroup() as group:
                 check_tasks = [
                     group.create_task(self._live_checks.check_single_owner()),
                     group.create_task(self._deployment.copy_store()),
+                    group.create_task(self._stall_meter.run()),
                 ]
                 for gateway in self._gateways:
                     check = self._live_checks.check_configuration_version(
@@ -137,10 +157,8 @@
                     check_tasks.append(group.create_task(harmful_caller.run()))
                 fault_task = group.create_task(self._inject_faults())
                 await asyncio.gather(
-                    *(
-                        request_caller.run(self._seconds)
-                        for request_caller in request_callers
-                    )
+                    *(c.run(self._seconds) for c in request_callers),
+                    *(c.run(self._seconds) for c in pipelining),
                 )
                 await fault_task
                 for check_task in check_tasks:
@@ -168,18 +186,21 @@
             )
         if not answered_count:
             self._violations.append("no request was answered")
+        pipelined = [e.exchange for c in pipelining for e in c.exchanges]
+        self._pipelining_result = self._check_pipelining(pipelining)
         return (
             self._violations
+            + self._pipelining_result.violations
             + self._live_checks.violations
             + checks.find_violations(
-                exchanges,
+                exchanges + [e for e in pipelined if e.status is not None],
                 self._deployment.servers,
                 self._planned_stops,
                 frozenset(self._killed_instances),
             )
             + statement_checks.find_violations(
                 self._deployment.servers,
-                {e.request_id: e.vm for e in exchanges},
+                {e.request_id: e.vm for e in exchanges + pipelined},
                 self._disruptions,
             )
             + harmful_request.find_violations(
@@ -190,6 +211,48 @@
             )
         )
 
+    def _create_pipelining_callers(
+        self,
+    ) -> list[pipelining_callers.PipeliningCaller]:
+        if not self._has_pipelining:
+            return []
+        return [
+            pipelining_callers.PipeliningCaller(
+                f"pipelining{gateway.vm}-{number}",
+                gateway,
+                self._started_s,
+                f"{self._seed}/pipelining/{gateway.vm}/{number}",
+            )
+            for gateway in self._gateways
+            for number in range(_PIPELINING_CALLERS_PER_GATEWAY)
+        ]
+
+    def _check_pipelining(
+        self, pipelining: Sequence[pipelining_callers.PipeliningCaller]
+    ) -> pipelining_checks.Result:
+        """Checks the records of callers that pipeline requests."""
+        return pipelining_checks.check(
+            pipelining_checks.Records(
+                self._started_s,
+                [e for c in pipelining for e in c.exchanges],
+                [close for c in pipelining for close in c.idle_closes],
+                self._deployment.servers,
+                unplanned_faults=[
+                    f for g in self._gateways for f in g.unplanned_faults
+                ],
+                interruptions=self._interruptions,
+                terminated_s={
+                    (g.vm, instance): s
+                    for g in self._gateways
+                    for instance, s in g.terminated_s.items()
+                },
+                link_faults=self._deployment.link_faults,
+                versions_in_force=self._live_checks.versions_in_force,
+                idle_limits=self._deployment.idle_limits,
+                stalls=self._stall_meter.stalls,
+            )
+        )
+
     async def _start_deployment(self, stack: contextlib.AsyncExitStack) -> None:
         store_port = await self._deployment.start(stack)
         for vm in range(self._vms):
@@ -221,12 +284,16 @@
             self._seed,
             self._seconds,
             self._vms,
-            len(self._deployment.servers),
+            deployments.FAULTY_SERVERS,
             has_isolations=self._has_isolations,
         )
         if self._has_rollouts:
             schedule += rollouts.generate(self._seed, self._seconds, self._vms)
-            schedule.sort(key=lambda scheduled: scheduled.start_s)
+        if self._has_pipelining:
+            schedule += planned_series.generate(
+                self._seed, self._seconds, self._vms
+            )
+        schedule.sort(key=lambda scheduled: scheduled.start_s)
         async with asyncio.TaskGroup() as group:
             for scheduled_fault in schedule:
                 pause_s = (
@@ -268,14 +335,17 @@
                 # Another fault of the VM may have restarted the gateway while
                 # this one waited, so the killed instance is the last but one.
                 self._killed_instances.add((vm, gateway.instance - 1))
-            case models.Stop(vm):
-                await self._stop_gateway(self._gateways[vm])
-            case models.Rollout():
-                await self._roll_out(fault)
+            case (
+                models.Stop()
+                | models.SignalStopping()
+                | models.Reload()
+                | models.Rollout()
+                | models.Reconfigure()
+                | models.ChangeConfiguration()
+            ):
+                await self._do_planned_work(fault)
             case models.Freeze(vm, duration_s):
                 await self._gateways[vm].freeze(duration_s)
-            case models.Reload(vm):
-                await self._gateways[vm].reload_settings()
             case models.StoreLinkFault(vm, link_fault, duration_s):
                 proxies = self._store_proxies
                 await asyncio.gather(
@@ -297,8 +367,6 @@
                 ]
                 await asyncio.sleep(1.0)
                 await self._deployment.store.apply_late_writes()
-            case models.Reconfigure():
-                await self._deployment.write_configuration()
             case models.Deregister(server, duration_s):
                 name = f"s{server}"
                 if self._deployment.store.get("servers", name) is not None:
@@ -316,6 +384,29 @@
             case _:
                 typing.assert_never(fault)
 
+    async def _do_planned_work(
+        self,
+        work: models.Stop
+        | models.SignalStopping
+        | models.Reload
+        | models.Rollout
+        | models.Reconfigure
+        | models.ChangeConfiguration,
+    ) -> None:
+        match work:
+            case models.Stop(vm):
+                await self._stop_gateway(self._gateways[vm])
+            case models.SignalStopping(vm, planned_signal):
+                await self._signal_stopping(self._gateways[vm], planned_signal)
+            case models.Reload(vm):
+                await self._gateways[vm].reload_settings()
+            case models.Rollout():
+                await self._roll_out(work)
+            case models.Reconfigure():
+                await self._deployment.write_configuration()
+            case models.ChangeConfiguration():
+                await self._deployment.change_configuration(work)
+
     async def _roll_out(self, rollout: models.Rollout) -> None:
         """Replaces the build of gateways one after the other."""
         holder = self._deployment.lease_holder
@@ -344,6 +435,19 @@
             models.Isolation(vm, start_s, end_s) for vm in fault.vms
         ]
 
+    async def _signal_stopping(
+        self, gateway: gateways.Gateway, planned_signal: models.PlannedSignal
+    ) -> None:
+        match planned_signal:
+            case models.PlannedSignal.TERMINATE:
+                if not gateway.signal_while_stopping(signal.SIGTERM):
+                    await self._stop_gateway(gateway)
+            case models.PlannedSignal.RELOAD:
+                if not gateway.signal_while_stopping(signal.SIGHUP):
+                    await gateway.reload_settings()
+            case _:
+                typing.assert_never(planned_signal)
+
     async def _stop_gateway(self, gateway: gateways.Gateway) -> None:
         instance = gateway.instance
         status, signalled_s = await gateway.stop_and_restart()
--- a/berylweir/standin/gateway_platform/server.py
+++ b/berylweir/standin/gateway_platform/server.py
@@ -71,12 +71,26 @@
     instance: int = 0
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Completion:
+    """A request whose response the server had ready.
+
+    Attributes:
+        request_id: Id of the request.
+        completed_s: When it was, on the server's clock, in seconds.
+    """
+
+    request_id: str
+    completed_s: float
+
+
 class Server:
     """Executes requests, accepts key grants and injects faults.
 
     Attributes:
         name: Its instance id.
         executions: Requests that it executed, in order of their start.
+        completions: Requests whose responses were ready, in their order.
         arrivals: Requests that arrived, also rejected ones, in their order.
         ownership_calls: `grant` or `release` for each such call that it
             carried out.
@@ -118,6 +132,7 @@
         """
         self.name = name
         self.executions: list[Execution] = []
+        self.completions: list[Completion] = []
         self.arrivals: list[Arrival] = []
         self.ownership_calls: list[str] = []
         self.next_responses: list[http.Response] = []
@@ -250,6 +265,7 @@
                 self._request_ended.notify_all()
         if self.next_responses:
             return self.next_responses.pop(0)
+        self.completions.append(Completion(request_id, self._clock()))
         return self.build_response(request_id, request.path)
 
     def _begin_crash(self, request_id: str, path: str) -> http.Response:
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -9,6 +9,7 @@
 
 from berylweir.soak import fault_schedule
 from berylweir.soak import models
+from berylweir.soak import planned_series
 from berylweir.soak import rollouts
 from berylweir.soak import runner
 
@@ -17,6 +18,9 @@
 _STATEMENT_SECONDS = 30.0
 # Seed of a soak in which gateways are cut off from all servers.
 _ISOLATION_SEED = 8
+# Seed and length of a soak with pipelined requests, in seconds.
+_PIPELINING_SEED = 12
+_PIPELINING_SECONDS = 10.5
 # Seeds that failed once, each with the cause of its failure.
 _REGRESSIONS = (
     2,  # SIGHUP ended a gateway that had just started.
@@ -85,6 +89,20 @@
         soak = runner.Soak(1, _SECONDS, tmp_path, has_harmful_request=True)
         assert await soak.run() == []
 
+    async def test_pipelined_requests_are_answered_amid_planned_work(
+        self, tmp_path: pathlib.Path
+    ):
+        """Guards against requests that planned work leaves without an answer.
+
+        With this seed, the build 00d0a53 drops requests that have arrived, and
+        holds answers back.
+        """
+        soak = runner.Soak(
+            _PIPELINING_SEED, _PIPELINING_SECONDS, tmp_path, has_pipelining=True
+        )
+        assert await soak.run() == []
+        assert soak.pipelining_result.checked > 0
+
 
 class TestRollouts:
     """Changes of the build amid the other faults."""
@@ -158,6 +176,12 @@
             5, 60.0, 3, 8
         ) != fault_schedule.generate(6, 60.0, 3, 8)
 
+    def test_equal_seeds_generate_equal_series_of_planned_work(self):
+        """Guards against a failure that its seed doesn't reproduce."""
+        series = planned_series.generate(5, 60.0, 3)
+        assert series == planned_series.generate(5, 60.0, 3)
+        assert series != planned_series.generate(6, 60.0, 3)
+
     @pytest.mark.parametrize("vms", [1, 2, 3, 24])
     def test_isolations_do_not_change_the_other_faults(self, vms: int):
         """Guards against regression seeds that no longer test the same."""
@@ -180,6 +204,7 @@
             for scheduled_fault in (
                 *fault_schedule.generate(seed, 60.0, 3, 8, has_isolations=True),
                 *rollouts.generate(seed, 60.0, 3),
+                *planned_series.generate(seed, 60.0, 3),
             )
         }
         assert kinds == set(models.Fault.__args__)
