Count what arrives while the soak's own process is stalled as received

Cause: the callers left at the shortest deadline without reading what had arrived while the soak's event loop was late, and took the end of a stall for the start of an idle time.

Change: a caller reads for 10 ms before it leaves; an idle time begins at the start of a stall; the summary names the longest stall.

The new tests and tests/soak/test_callers.py, test_checks.py, test_program.py pass.

--- a/berylweir/soak/pipelining_callers.py
+++ b/berylweir/soak/pipelining_callers.py
@@ -27,6 +27,8 @@
 # Pause before the next connection.
 _RECONNECT_PAUSE_S = 0.05
 _CONNECT_TIMEOUT_S = 1.0
+# Time in which the event loop reads what has arrived before a caller leaves.
+_READ_S = 0.01
 # Bounds of the deadlines of requests, in milliseconds.
 _MIN_DEADLINE_MS = 900
 _MAX_DEADLINE_MS = 4000
@@ -131,6 +133,9 @@
                 await self._receive(connection)
         except TimeoutError:
             end = models.RequestEnd.LEFT_BY_CALLER
+            if sender is not None:
+                sender.cancel()
+            await self._receive_arrived(connection)
         except (OSError, EOFError):
             if not connection.pending:
                 self._idle_closes.append(
@@ -207,6 +212,12 @@
                 connection.idle_since_s = self._now_s()
                 connection.all_answered.set()
 
+    async def _receive_arrived(self, connection: _Connection) -> None:
+        """Reads answers that have arrived, as the event loop may be late."""
+        with contextlib.suppress(OSError, EOFError):
+            async with asyncio.timeout(_READ_S):
+                await self._receive(connection)
+
     def _schedule_leaving(self, connection: _Connection) -> None:
         if connection.leaving.expired():
             return
--- a/berylweir/soak/pipelining_checks.py
+++ b/berylweir/soak/pipelining_checks.py
@@ -82,6 +82,7 @@
             reached no server.
         left: Those whose caller left before their answer.
         idle_closes: Connections closed by gateways while idle.
+        longest_stall_s: Longest time in which the soak stalled, in seconds.
     """
 
     violations: list[str]
@@ -93,6 +94,7 @@
     not_run: int
     left: int
     idle_closes: int
+    longest_stall_s: float
 
     def __str__(self) -> str:
         """Describes the counts for the summary of a soak."""
@@ -101,7 +103,8 @@
             f" {self.checked} checked; {self.crossed_idle} crossed an idle"
             f" close, {self.crossed_answer} a last answer, {self.not_run} were"
             f" dropped late in a stop, {self.left} left by their callers;"
-            f" {self.idle_closes} idle connections closed"
+            f" {self.idle_closes} idle connections closed, longest stall of the"
+            f" soak {self.longest_stall_s:.2f} s"
         )
 
 
@@ -156,6 +159,7 @@
         len(not_run),
         _count(records.exchanges, models.RequestEnd.LEFT_BY_CALLER),
         len(records.idle_closes),
+        max((s.end_s - s.start_s for s in records.stalls), default=0.0),
     )
 
 
@@ -223,7 +227,9 @@
             for limit in records.idle_limits
             if limit.version >= oldest_version and limit.written_s <= closed_s
         )
-        idle_s = close.closed_s - close.idle_since_s
+        idle_s = closed_s - soak_stalls.undisturbed_s(
+            records.stalls, idle_since_s
+        )
         if idle_s + _IDLE_SLACK_S < limit_s:
             violations.append(
                 f"vm-{close.vm} closed a connection at {close.closed_s:.2f} s,"
--- a/berylweir/soak/stalls.py
+++ b/berylweir/soak/stalls.py
@@ -51,6 +51,19 @@
                 self._stalls.append(Stall(due_s, now_s))
 
 
+def undisturbed_s(stalls: Iterable[Stall], at_s: float) -> float:
+    """Returns when an event was due that was seen at `at_s`, at the earliest.
+
+    Args:
+        stalls: Stalls in the order of their times.
+        at_s: Time on the monotonic clock, in seconds.
+    """
+    for stall in reversed(list(stalls)):
+        if stall.start_s <= at_s <= stall.end_s + _INTERVAL_S:
+            at_s = stall.start_s
+    return at_s
+
+
 def stalled_s(stalls: Iterable[Stall], start_s: float, end_s: float) -> float:
     """Returns how long a time was stalled, in seconds."""
     return sum(
--- a/tests/soak/test_stalls.py
+++ b/tests/soak/test_stalls.py
@@ -28,6 +28,13 @@
 class TestStalledTime:
     """How much of a time was stalled."""
 
+    def test_event_may_have_been_due_when_stalls_began(self):
+        """Guards against blaming gateways for what the soak saw late."""
+        recorded = [stalls.Stall(1.0, 2.0), stalls.Stall(2.005, 3.0)]
+        assert stalls.undisturbed_s(recorded, 3.005) == 1.0
+        assert stalls.undisturbed_s(recorded, 1.5) == 1.0
+        assert stalls.undisturbed_s(recorded, 3.5) == 3.5
+
     def test_only_the_overlap_counts(self):
         """Guards against excuses by stalls at other times."""
         recorded = [stalls.Stall(1.0, 2.0), stalls.Stall(4.0, 5.0)]
