Fill the buffer before a late caller of the soak leaves

Cause: while the event loop is late, the timeout of 10 ms ends in the pass in which the answers are read, before the caller takes them.

Change: the caller waits for 10 ms, in which the loop reads, then takes what is in the buffer.

Result: tests/soak/test_pipelining_callers.py, test_pipelining_checks.py, test_callers.py, test_checks.py and test_program.py pass.

--- a/berylweir/soak/pipelining_callers.py
+++ b/berylweir/soak/pipelining_callers.py
@@ -214,6 +214,7 @@
 
     async def _receive_arrived(self, connection: _Connection) -> None:
         """Reads answers that have arrived, as the event loop may be late."""
+        await asyncio.sleep(_READ_S)  # The loop fills the reader's buffer.
         with contextlib.suppress(OSError, EOFError):
             async with asyncio.timeout(_READ_S):
                 await self._receive(connection)
