Keep the soak's callers while answers have arrived

Cause: a caller whose event loop was late left although the answer whose deadline had passed had arrived, and gave up the answers behind it.

Change: after the shortest deadline the caller takes what has arrived, and goes on if the shortest deadline of the others hasn't passed.

--- a/berylweir/soak/pipelining_callers.py
+++ b/berylweir/soak/pipelining_callers.py
@@ -124,18 +124,11 @@
 
     async def _use(self, connection: _Connection, end_s: float) -> None:
         end = models.RequestEnd.CLOSED_BY_GATEWAY
-        sender: asyncio.Task[None] | None = None
+        sender = asyncio.create_task(self._send_bursts(connection, end_s))
         try:
-            async with connection.leaving:
-                sender = asyncio.create_task(
-                    self._send_bursts(connection, end_s)
-                )
-                await self._receive(connection)
+            await self._receive_in_time(connection)
         except TimeoutError:
             end = models.RequestEnd.LEFT_BY_CALLER
-            if sender is not None:
-                sender.cancel()
-            await self._receive_arrived(connection)
         except (OSError, EOFError):
             if not connection.pending:
                 self._idle_closes.append(
@@ -147,8 +140,7 @@
                     )
                 )
         finally:
-            if sender is not None:
-                sender.cancel()
+            sender.cancel()
         for pending in connection.pending:
             self._record(connection, pending, end)
 
@@ -212,12 +204,29 @@
                 connection.idle_since_s = self._now_s()
                 connection.all_answered.set()
 
-    async def _receive_arrived(self, connection: _Connection) -> None:
-        """Reads answers that have arrived, as the event loop may be late."""
-        await asyncio.sleep(_READ_S)  # The loop fills the reader's buffer.
-        with contextlib.suppress(OSError, EOFError):
-            async with asyncio.timeout(_READ_S):
-                await self._receive(connection)
+    async def _receive_in_time(self, connection: _Connection) -> None:
+        """Reads answers until one says that the gateway closes.
+
+        The event loop may be late itself, so the caller stays while there are
+        answers that have arrived.
+
+        Raises:
+            TimeoutError: The shortest deadline has passed.
+        """
+        awaited: _Pending | None = None
+        while True:
+            connection.leaving = asyncio.timeout(None)
+            try:
+                async with connection.leaving:
+                    self._schedule_leaving(connection)
+                    await self._receive(connection)
+                return
+            except TimeoutError:
+                if not connection.pending or connection.pending[0] is awaited:
+                    raise
+                awaited = connection.pending[0]
+            # The loop fills the buffer of the reader.
+            await asyncio.sleep(_READ_S)
 
     def _schedule_leaving(self, connection: _Connection) -> None:
         if connection.leaving.expired():
