Count requests whose gateway waited for a processor apart in the soak

Change: the time that each gateway's main thread waits in its run queue is read every 0.1 s from /proc. Lost requests whose gateway waited for over 0.05 s meanwhile are counted in the summary in place of violations.

--- a/berylweir/soak/pipelining_checks.py
+++ b/berylweir/soak/pipelining_checks.py
@@ -9,6 +9,7 @@
 import dataclasses
 
 from berylweir.soak import models
+from berylweir.soak import processor_waits as soak_waits
 from berylweir.soak import stalls as soak_stalls
 from berylweir.soak import statement_checks
 from berylweir.standin.gateway_platform import server as server_standin
@@ -24,6 +25,9 @@
 # Time after SIGTERM in which a gateway takes all requests, in seconds: 2.8 less
 # the time that a request may need to arrive.
 _ACCEPT_S = 2.6
+# Time for which a gateway may have waited for a processor without an excuse, in
+# seconds. It answers at most 0.1 s before a deadline.
+_MAX_WAIT_S = 0.05
 # Time by which the caller's measure of an idle time may exceed the gateway's,
 # in seconds.
 _IDLE_SLACK_S = 0.1
@@ -46,6 +50,7 @@
         versions_in_force: Versions of the configuration at the gateways.
         idle_limits: Idle limit of each version.
         stalls: Times in which the process of the callers and servers stalled.
+        processor_waits: Times that gateways waited for a processor.
     """
 
     started_s: float
@@ -63,6 +68,7 @@
     versions_in_force: Sequence[models.VersionInForce] = ()
     idle_limits: Sequence[models.IdleLimit] = ()
     stalls: Sequence[soak_stalls.Stall] = ()
+    processor_waits: Sequence[soak_waits.ProcessorWait] = ()
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -80,6 +86,8 @@
             the close.
         not_run: Those that were dropped behind another one late in a stop, and
             reached no server.
+        starved: Those that were cut or held back while their gateway waited for
+            a processor; no violations.
         left: Those whose caller left before their answer.
         idle_closes: Connections closed by gateways while idle.
         longest_stall_s: Longest time in which the soak stalled, in seconds.
@@ -92,6 +100,7 @@
     crossed_idle: int
     crossed_answer: int
     not_run: int
+    starved: int
     left: int
     idle_closes: int
     longest_stall_s: float
@@ -102,7 +111,8 @@
             f"{self.answered} of {self.sent} pipelined requests answered,"
             f" {self.checked} checked; {self.crossed_idle} crossed an idle"
             f" close, {self.crossed_answer} a last answer, {self.not_run} were"
-            f" dropped late in a stop, {self.left} left by their callers;"
+            f" dropped late in a stop, {self.starved} lost beside other work of"
+            f" the machine, {self.left} left by their callers;"
             f" {self.idle_closes} idle connections closed, longest stall of the"
             f" soak {self.longest_stall_s:.2f} s"
         )
@@ -146,8 +156,10 @@
         and e not in not_run
         and e.deadline_s > e.exchange.ended_s
     ]
-    violations = [f"cut by a close: {_describe(e)}" for e in cut]
-    violations += _find_held_back(records, checked)
+    lost = [(e, "cut by a close") for e in cut]
+    lost += _find_held_back(records, checked)
+    unexcused = [(e, how) for e, how in lost if not _is_starved(records, e)]
+    violations = [f"{how}: {_describe(e)}" for e, how in unexcused]
     violations += _find_closed_early(records)
     return Result(
         violations,
@@ -157,6 +169,7 @@
         sum(not e.requests_ahead for e in crossed),
         sum(e.requests_ahead > 0 for e in crossed),
         len(not_run),
+        len(lost) - len(unexcused),
         _count(records.exchanges, models.RequestEnd.LEFT_BY_CALLER),
         len(records.idle_closes),
         max((s.end_s - s.start_s for s in records.stalls), default=0.0),
@@ -165,14 +178,14 @@
 
 def _find_held_back(
     records: Records, checked: Iterable[models.PipelinedExchange]
-) -> list[str]:
-    """Checks requests whose callers left because of another deadline."""
+) -> list[tuple[models.PipelinedExchange, str]]:
+    """Returns requests whose callers left because of another deadline."""
     completions = {
         completion.request_id: (server.name, completion.completed_s)
         for server in records.servers
         for completion in server.completions
     }
-    violations = []
+    held_back = []
     for pipelined in checked:
         exchange = pipelined.exchange
         if (
@@ -195,10 +208,8 @@
             for fault in records.link_faults.get(server, ())
         ):
             continue
-        violations.append(
-            f"ready for {ready_s:.2f} s, yet lost: {_describe(pipelined)}"
-        )
-    return violations
+        held_back.append((pipelined, f"ready for {ready_s:.2f} s, yet lost"))
+    return held_back
 
 
 def _find_closed_early(records: Records) -> list[str]:
@@ -256,6 +267,17 @@
     return elapsed_s - stalled_s <= _CROSSING_S
 
 
+def _is_starved(records: Records, pipelined: models.PipelinedExchange) -> bool:
+    exchange = pipelined.exchange
+    waited_s = soak_waits.waited_s(
+        records.processor_waits,
+        exchange.vm,
+        records.started_s + exchange.sent_s,
+        records.started_s + exchange.ended_s,
+    )
+    return waited_s > _MAX_WAIT_S
+
+
 def _is_late_in_stop(records: Records, exchange: models.Exchange) -> bool:
     terminated_s = records.terminated_s.get((exchange.vm, exchange.instance))
     return (
--- a/berylweir/soak/runner.py
+++ b/berylweir/soak/runner.py
@@ -23,6 +23,7 @@
 from berylweir.soak import pipelining_callers
 from berylweir.soak import pipelining_checks
 from berylweir.soak import planned_series
+from berylweir.soak import processor_waits
 from berylweir.soak import proxy
 from berylweir.soak import rollouts
 from berylweir.soak import stalls
@@ -98,6 +99,7 @@
         self._live_checks = live_checks.LiveChecks(self._deployment)
         self._store_proxies: list[proxy.FaultProxy] = []
         self._gateways: list[gateways.Gateway] = []
+        self._wait_meter = processor_waits.WaitMeter(self._gateways)
         self._planned_stops: list[models.PlannedStop] = []
         self._killed_instances: set[tuple[int, int]] = set()
         self._disruptions: list[models.Disruption] = []
@@ -144,6 +146,7 @@
                     group.create_task(self._live_checks.check_single_owner()),
                     group.create_task(self._deployment.copy_store()),
                     group.create_task(self._stall_meter.run()),
+                    group.create_task(self._wait_meter.run()),
                 ]
                 for gateway in self._gateways:
                     check = self._live_checks.check_configuration_version(
@@ -250,6 +253,7 @@
                 versions_in_force=self._live_checks.versions_in_force,
                 idle_limits=self._deployment.idle_limits,
                 stalls=self._stall_meter.stalls,
+                processor_waits=self._wait_meter.waits,
             )
         )
 
--- a/tests/soak/test_pipelining_checks.py
+++ b/tests/soak/test_pipelining_checks.py
@@ -1,9 +1,12 @@
 """Tests of the checks on pipelined requests."""
 
+import dataclasses
+
 import pytest
 
 from berylweir.soak import models
 from berylweir.soak import pipelining_checks
+from berylweir.soak import processor_waits
 from berylweir.soak import stalls
 from berylweir.standin.gateway_platform import server as server_standin
 
@@ -89,6 +92,21 @@
         assert check(make_request(), stalls=[stall]).violations == []
         assert check(make_request(ended_s=5.7), stalls=[stall]).violations
 
+    def test_gateway_without_a_processor_is_excused(self):
+        """Guards against blaming a gateway for other work of the machine."""
+        wait = processor_waits.ProcessorWait(
+            0, _STARTED_S + 5.4, _STARTED_S + 5.5, 0.06
+        )
+        result = check(make_request(), processor_waits=[wait])
+        assert result.violations == []
+        assert result.starved == 1
+        for other in (
+            dataclasses.replace(wait, waited_s=0.04),
+            dataclasses.replace(wait, vm=1),
+            dataclasses.replace(wait, start_s=_STARTED_S + 5.6, end_s=106.0),
+        ):
+            assert check(make_request(), processor_waits=[other]).violations
+
     def test_passed_deadline_excuses_a_request(self):
         """Guards against blaming a gateway for an answer nobody waits for."""
         assert check(make_request(deadline_s=5.4)).violations == []
