Subtract waits for a processor from the time before a close

Change: for requests whose connection is closed, waits are subtracted as stalls are; only answers that are held back are excused by them, since gateways answer 0.1 s before a deadline.

Result: the new tests, tests/soak/test_callers.py, test_checks.py and test_program.py pass.

--- a/berylweir/soak/pipelining_checks.py
+++ b/berylweir/soak/pipelining_checks.py
@@ -25,8 +25,8 @@
 # Time after SIGTERM in which a gateway takes all requests, in seconds: 2.8 less
 # the time that a request may need to arrive.
 _ACCEPT_S = 2.6
-# Time for which a gateway may have waited for a processor without an excuse, in
-# seconds. It answers at most 0.1 s before a deadline.
+# Time for which a gateway may have waited for a processor and is still expected
+# to answer before a deadline, in seconds; it does so 0.1 s before.
 _MAX_WAIT_S = 0.05
 # Time by which the caller's measure of an idle time may exceed the gateway's,
 # in seconds.
@@ -86,8 +86,8 @@
             the close.
         not_run: Those that were dropped behind another one late in a stop, and
             reached no server.
-        starved: Those that were cut or held back while their gateway waited for
-            a processor; no violations.
+        starved: Those whose answers were held back while their gateway waited
+            for a processor; no violations.
         left: Those whose caller left before their answer.
         idle_closes: Connections closed by gateways while idle.
         longest_stall_s: Longest time in which the soak stalled, in seconds.
@@ -111,8 +111,8 @@
             f"{self.answered} of {self.sent} pipelined requests answered,"
             f" {self.checked} checked; {self.crossed_idle} crossed an idle"
             f" close, {self.crossed_answer} a last answer, {self.not_run} were"
-            f" dropped late in a stop, {self.starved} lost beside other work of"
-            f" the machine, {self.left} left by their callers;"
+            f" dropped late in a stop, {self.starved} held back beside other"
+            f" work of the machine, {self.left} left by their callers;"
             f" {self.idle_closes} idle connections closed, longest stall of the"
             f" soak {self.longest_stall_s:.2f} s"
         )
@@ -156,10 +156,14 @@
         and e not in not_run
         and e.deadline_s > e.exchange.ended_s
     ]
-    lost = [(e, "cut by a close") for e in cut]
-    lost += _find_held_back(records, checked)
-    unexcused = [(e, how) for e, how in lost if not _is_starved(records, e)]
-    violations = [f"{how}: {_describe(e)}" for e, how in unexcused]
+    held_back = _find_held_back(records, checked)
+    starved = [e for e, _ in held_back if _is_starved(records, e.exchange)]
+    violations = [f"cut by a close: {_describe(e)}" for e in cut]
+    violations += [
+        f"ready for {ready_s:.2f} s, yet lost: {_describe(e)}"
+        for e, ready_s in held_back
+        if e not in starved
+    ]
     violations += _find_closed_early(records)
     return Result(
         violations,
@@ -169,7 +173,7 @@
         sum(not e.requests_ahead for e in crossed),
         sum(e.requests_ahead > 0 for e in crossed),
         len(not_run),
-        len(lost) - len(unexcused),
+        len(starved),
         _count(records.exchanges, models.RequestEnd.LEFT_BY_CALLER),
         len(records.idle_closes),
         max((s.end_s - s.start_s for s in records.stalls), default=0.0),
@@ -178,8 +182,11 @@
 
 def _find_held_back(
     records: Records, checked: Iterable[models.PipelinedExchange]
-) -> list[tuple[models.PipelinedExchange, str]]:
-    """Returns requests whose callers left because of another deadline."""
+) -> list[tuple[models.PipelinedExchange, float]]:
+    """Returns requests whose callers left because of another deadline.
+
+    Each one comes with the time for which its answer was ready, in seconds.
+    """
     completions = {
         completion.request_id: (server.name, completion.completed_s)
         for server in records.servers
@@ -208,7 +215,7 @@
             for fault in records.link_faults.get(server, ())
         ):
             continue
-        held_back.append((pipelined, f"ready for {ready_s:.2f} s, yet lost"))
+        held_back.append((pipelined, ready_s))
     return held_back
 
 
@@ -264,18 +271,22 @@
         records.started_s + exchange.sent_s,
         records.started_s + exchange.ended_s,
     )
-    return elapsed_s - stalled_s <= _CROSSING_S
+    waited_s = _waited_s(records, exchange)
+    return elapsed_s - stalled_s - waited_s <= _CROSSING_S
 
 
-def _is_starved(records: Records, pipelined: models.PipelinedExchange) -> bool:
-    exchange = pipelined.exchange
-    waited_s = soak_waits.waited_s(
+def _is_starved(records: Records, exchange: models.Exchange) -> bool:
+    return _waited_s(records, exchange) > _MAX_WAIT_S
+
+
+def _waited_s(records: Records, exchange: models.Exchange) -> float:
+    """Returns how long the gateway of a request waited for a processor."""
+    return soak_waits.waited_s(
         records.processor_waits,
         exchange.vm,
         records.started_s + exchange.sent_s,
         records.started_s + exchange.ended_s,
     )
-    return waited_s > _MAX_WAIT_S
 
 
 def _is_late_in_stop(records: Records, exchange: models.Exchange) -> bool:
--- a/tests/soak/test_pipelining_checks.py
+++ b/tests/soak/test_pipelining_checks.py
@@ -92,20 +92,14 @@
         assert check(make_request(), stalls=[stall]).violations == []
         assert check(make_request(ended_s=5.7), stalls=[stall]).violations
 
-    def test_gateway_without_a_processor_is_excused(self):
+    def test_wait_for_a_processor_does_not_count(self):
         """Guards against blaming a gateway for other work of the machine."""
         wait = processor_waits.ProcessorWait(
-            0, _STARTED_S + 5.4, _STARTED_S + 5.5, 0.06
+            0, _STARTED_S + 5.2, _STARTED_S + 5.5, 0.3
         )
-        result = check(make_request(), processor_waits=[wait])
-        assert result.violations == []
-        assert result.starved == 1
-        for other in (
-            dataclasses.replace(wait, waited_s=0.04),
-            dataclasses.replace(wait, vm=1),
-            dataclasses.replace(wait, start_s=_STARTED_S + 5.6, end_s=106.0),
-        ):
-            assert check(make_request(), processor_waits=[other]).violations
+        assert check(make_request(), processor_waits=[wait]).crossed_idle == 1
+        shorter = dataclasses.replace(wait, waited_s=0.25)
+        assert check(make_request(), processor_waits=[shorter]).violations
 
     def test_passed_deadline_excuses_a_request(self):
         """Guards against blaming a gateway for an answer nobody waits for."""
@@ -162,6 +156,24 @@
         for server in (make_server(), make_server(completed_s=5.25)):
             assert check(make_request(_LEFT), server).violations == []
 
+    def test_wait_for_a_processor_excuses_a_late_answer(self):
+        """Guards against blaming a gateway for other work of the machine."""
+        server = make_server(completed_s=5.1)
+        wait = processor_waits.ProcessorWait(
+            0, _STARTED_S + 5.4, _STARTED_S + 5.5, 0.06
+        )
+        result = check(make_request(_LEFT), server, processor_waits=[wait])
+        assert result.violations == []
+        assert result.starved == 1
+        for other in (
+            dataclasses.replace(wait, waited_s=0.04),
+            dataclasses.replace(wait, vm=1),
+            dataclasses.replace(wait, start_s=_STARTED_S + 5.6, end_s=106.0),
+        ):
+            assert check(
+                make_request(_LEFT), server, processor_waits=[other]
+            ).violations
+
     def test_own_deadline_excuses_a_request(self):
         """Guards against blaming a gateway for a server's late answer."""
         request = make_request(_LEFT, deadline_s=5.5)
