Let the soak allow for work that a planned stop doesn't break off

The case is allowed: in a planned stop a request at a server isn't broken off, so what is behind it may be lost. The check excuses it only if the gateway got SIGTERM before, and a server was executing a request of the same connection in front.

Result: test_work_in_front_excuses_a_request_in_a_stop; the other cases are checked as before.

--- a/berylweir/soak/pipelining_checks.py
+++ b/berylweir/soak/pipelining_checks.py
@@ -28,6 +28,9 @@
 # Time for which a gateway may have waited for a processor and is still expected
 # to answer before a deadline, in seconds; it does so 0.1 s before.
 _MAX_WAIT_S = 0.05
+# Time in which the ends of all requests of a leaving caller are recorded, in
+# seconds.
+_LEAVING_S = 0.05
 # Time by which the caller's measure of an idle time may exceed the gateway's,
 # in seconds.
 _IDLE_SLACK_S = 0.1
@@ -127,7 +130,8 @@
       crossed the close, its deadline had passed, or it was sent behind another
       one late in a stop and reached no server;
     - a request whose answer was ready before its caller left, and whose
-      deadline hadn't passed, has been answered;
+      deadline hadn't passed, has been answered, unless the gateway was stopping
+      and a server worked on a request in front of it;
     - an idle connection is kept for the idle limit of the configuration.
 
     Args:
@@ -213,12 +217,51 @@
             and fault.end_s >= start_s
             and (fault.vms is None or exchange.vm in fault.vms)
             for fault in records.link_faults.get(server, ())
-        ):
+        ) or _is_behind_work_in_stop(records, pipelined):
             continue
         held_back.append((pipelined, ready_s))
     return held_back
 
 
+def _is_behind_work_in_stop(
+    records: Records, behind: models.PipelinedExchange
+) -> bool:
+    """Returns whether a stopping gateway waited for a server's work.
+
+    In a planned stop, a request at a server isn't broken off for those behind
+    it.
+    """
+    exchange = behind.exchange
+    end_s = records.started_s + exchange.ended_s
+    terminated_s = records.terminated_s.get((exchange.vm, exchange.instance))
+    if terminated_s is None or terminated_s > end_s:
+        return False
+    ahead = {
+        e.exchange.request_id
+        for e in records.exchanges
+        if e.end is models.RequestEnd.LEFT_BY_CALLER
+        and _caller_of(e.exchange) == _caller_of(exchange)
+        and e.exchange.instance == exchange.instance
+        and abs(e.exchange.ended_s - exchange.ended_s) < _LEAVING_S
+        and e.exchange.sent_s <= exchange.sent_s
+        and e is not behind
+    }
+    return any(
+        execution.request_id in ahead
+        and not any(
+            c.request_id == execution.request_id and c.completed_s <= end_s
+            for c in server.completions
+        )
+        for server in records.servers
+        for execution in server.executions
+    )
+
+
+def _caller_of(exchange: models.Exchange) -> str:
+    """Returns the name of the caller, the prefix of its request ids."""
+    return exchange.request_id.rpartition("-")[0]
+
+
 def _find_closed_early(records: Records) -> list[str]:
     """Checks connections that were closed without a request on them."""
     violations = []
--- a/tests/soak/test_pipelining_checks.py
+++ b/tests/soak/test_pipelining_checks.py
@@ -192,6 +192,48 @@
         )
         assert (result.violations == []) is is_excused
 
+    @pytest.mark.parametrize(
+        ("terminated_s", "completed_s", "is_excused"),
+        [
+            (4.0, None, True),
+            (4.0, 6.0, True),
+            (4.0, 5.1, False),
+            (5.6, None, False),
+            (None, None, False),
+        ],
+    )
+    def test_work_in_front_excuses_a_request_in_a_stop(
+        self, terminated_s, completed_s, is_excused
+    ):
+        """Guards against demanding that a stop breaks off work."""
+        behind = make_request(_LEFT, sent_s=5.0, requests_ahead=1)
+        first = dataclasses.replace(
+            behind,
+            exchange=dataclasses.replace(behind.exchange, request_id="r0"),
+            requests_ahead=0,
+        )
+        server = make_server(completed_s=5.1)
+        server.executions.append(
+            server_standin.Execution("r0", "GET", "/", None, None, 105.0, ())
+        )
+        if completed_s is not None:
+            server.completions.append(
+                server_standin.Completion("r0", _STARTED_S + completed_s)
+            )
+        result = pipelining_checks.check(
+            pipelining_checks.Records(
+                _STARTED_S,
+                [first, behind],
+                (),
+                [server],
+                terminated_s={}
+                if terminated_s is None
+                else {(0, 1): _STARTED_S + terminated_s},
+            )
+        )
+        lost = [v for v in result.violations if " r1 " in v]
+        assert (lost == []) is is_excused
+
 
 class TestIdleConnections:
     """Connections that gateways close while no request is on them."""
