Set back the ejections of a server that has recovered

What callers saw: a server of an unkeyed group that had been slow a few times got no work for up to 30 s whenever it was slow again, however long it had been sound in between.

Cause: the number of ejections, which doubles their length, was never set back.

Change: a server that got work for 30 s, the length of the longest ejection, starts with the shortest one again.

Measured: pytest tests/router/admission -k ejections_after failed before (16 s in place of 1 s) and passes; tests/router/admission and tests/replay: 116 passed.

--- a/berylweir/router/admission/outliers.py
+++ b/berylweir/router/admission/outliers.py
@@ -10,6 +10,7 @@
 
 from collections.abc import Mapping
 import dataclasses
+import math
 import statistics
 
 _SLOW_FACTOR = 3.0
@@ -30,13 +31,16 @@
         is_slow: Whether it is much slower than the median.
         ejected_until_s: End of its ejection, in seconds on the monotonic
             clock; 0 if it isn't ejected.
-        ejections: Number of ejections so far. The first lasts 1 s, and each
+        ejections: Number of ejections in a row. The first lasts 1 s, and each
             further one twice as long as the one before, up to 30 s.
+        last_ejected_until_s: End of its last ejection, in seconds on the
+            monotonic clock.
     """
 
     is_slow: bool = False
     ejected_until_s: float = 0.0
     ejections: int = 0
+    last_ejected_until_s: float = -math.inf
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -98,8 +102,15 @@
 
 
 def eject(outlier: OutlierState, now: float) -> None:
-    """Ejects a server; each ejection lasts longer than the last one."""
+    """Ejects a server; each ejection in a row lasts longer than the last one.
+
+    A server that got work for as long as the longest ejection has recovered, so
+    the next ejection is a first one again.
+    """
+    if now - outlier.last_ejected_until_s >= _MAX_EJECTION_S:
+        outlier.ejections = 0
     outlier.ejected_until_s = now + min(
         _MAX_EJECTION_S, _MIN_EJECTION_S * 2.0**outlier.ejections
     )
+    outlier.last_ejected_until_s = outlier.ejected_until_s
     outlier.ejections += 1
--- a/tests/router/admission/test_admission.py
+++ b/tests/router/admission/test_admission.py
@@ -9,6 +9,7 @@
 from berylweir.refusals import models as refusals
 from berylweir.router.admission import decisions
 from berylweir.router.admission import models
+from berylweir.router.admission import outliers
 from tests.router.admission import test_idempotency
 
 _NEVER = float("inf")
@@ -362,6 +363,18 @@
             assert home.limit_of(name) == 1
             assert len(home.state.servers[name].running) <= 1
 
+    def test_ejections_after_a_recovery_start_short_again(self):
+        """Guards against long ejections for slowness that is long over."""
+        server = outliers.OutlierState()
+        lengths = []
+        now = 0.0
+        for sound_s in (0.0, 1.0, 1.0, 1.0, 30.0, 1.0):
+            now += sound_s
+            outliers.eject(server, now)
+            lengths.append(server.ejected_until_s - now)
+            now = server.ejected_until_s
+        assert lengths == [1.0, 2.0, 4.0, 8.0, 1.0, 2.0]
+
     def test_server_that_refuses_connections_gets_no_work(self):
         """Guards against a dead server chosen because it has no load."""
         home = SimulatedHome(2, keyed=False)
