Refuse requests whose slice was taken away while connecting

To a server that had never run the slice, this looks like a second owner of it.

A request is admitted before its connection is opened. If the slice was taken away meanwhile, the home found no token for it and lent the connection all the same, and the exchange sent 0 in place of the missing token until the authority for the server's other slices expired.

The home now refuses such a request as not run, and keeps the connection for others.

--- a/berylweir/router/backends/home.py
+++ b/berylweir/router/backends/home.py
@@ -262,8 +262,13 @@
         state = self._state.servers.get(server)
         authority = state.authority if state is not None else None
         token = None
-        if ticket.slice is not None and authority is not None:
-            token = authority.tokens.get(ticket.slice)
+        if ticket.slice is not None:
+            if authority is not None:
+                token = authority.tokens.get(ticket.slice)
+            if token is None:
+                # The slice was taken away while the connection was opened.
+                self._return_unused(ticket, server, lent, origin)
+                return
         admitted = messages.Admitted(
             ticket,
             server,
@@ -281,6 +286,24 @@
                 ticket, server, admission.Ending.NOT_SENT, time.monotonic()
             )
 
+    def _return_unused(
+        self,
+        ticket: admission.Ticket,
+        server: str,
+        unused: connection.Connection,
+        origin: pool.Pool,
+    ) -> None:
+        """Refuses a ticket whose slice this home may no longer serve."""
+        self._metrics.count("router.connect.unauthorized")
+        if self._pools.get(server) is origin:
+            origin.release(unused)
+        else:
+            origin.discard(unused)
+        self._reply(ticket, result.Err(refusals.NotHome(server)))
+        self._finish(
+            ticket, server, admission.Ending.NOT_SENT, time.monotonic()
+        )
+
     def _return_connection(self, ticket: admission.Ticket) -> None:
         """Returns a connection to the pool that it came from.
 
