Date a server's report of no requests by the sending of its probe

A slice of a group with checks_grants = false could move to another server while its former owner still ran a request of it.

The keeper dated a server's report that no request is in flight by the arrival of the response. A request that was sent and abandoned while the response was on its way, which takes up to 0.3 s, counted as ended, although the server had made its report before. For the same reason the expiry of an acknowledged grant could be too late: it was counted from the newest call to the server, which may still have been queued when the response to an earlier one arrived.

The task that calls the server now passes on when it sent the call, and both times count from there.

tests/keeper/test_grants.py: TestIdleServer (0.5 in place of 0.35) and TestRenewal::test_expiry_counts_from_the_sending_of_its_grant (1.25 in place of 1.0) failed before and pass now. The other changes in the test only add the new argument. pytest tests/keeper tests/replay passes.

--- a/berylweir/keeper/grants/decisions.py
+++ b/berylweir/keeper/grants/decisions.py
@@ -188,15 +188,22 @@
     status: backendapi.ServerStatus,
     received_s: float,
     safety: authority.SafetyRules = authority.SafetyRules(),  # noqa: B008
+    *,
+    sent_s: float,
 ) -> models.HomeState:
     """Returns the state after the server has responded.
 
+    The server has created its response at some time after `sent_s`, so a
+    request that was abandoned later may be running although the response
+    reports none.
+
     Args:
         state: State before the response.
         request: Grant request that the server responded to; None for a probe.
         status: The response.
         received_s: When the response arrived.
         safety: Safety rules in force; only tests switch any off.
+        sent_s: When the grant request or probe was sent.
     """
     has_restarted = bool(state.instance) and status.instance != state.instance
     gap_free_since_s = min(state.responsive_since_s, received_s)
@@ -204,7 +211,7 @@
         gap_free_since_s = received_s
     is_idle = has_restarted or (
         status.in_flight == 0
-        and received_s >= gap_free_since_s + _IDLE_CONFIRMATION_S
+        and sent_s >= gap_free_since_s + _IDLE_CONFIRMATION_S
     )
     updated_state = dataclasses.replace(
         state,
@@ -212,7 +219,7 @@
         instance=status.instance,
         last_response_s=received_s,
         responsive_since_s=gap_free_since_s,
-        last_idle_s=received_s if is_idle else state.last_idle_s,
+        last_idle_s=sent_s if is_idle else state.last_idle_s,
         granted_slices=frozenset() if has_restarted else state.granted_slices,
     )
     if request is None or request.instance != status.instance:
@@ -231,9 +238,7 @@
     )
     # The server read its clock after the request was sent, so counting the
     # remaining time from the sending gives no later end than on the server.
-    acknowledged_until_s = (
-        state.last_request_s + request.expires_at_s - status.clock_s
-    )
+    acknowledged_until_s = sent_s + request.expires_at_s - status.clock_s
     return dataclasses.replace(
         updated_state,
         acknowledged_until_s=(
--- a/berylweir/keeper/grants/homes.py
+++ b/berylweir/keeper/grants/homes.py
@@ -218,6 +218,7 @@
             message.status,
             message.arrived_s,
             self._safety,
+            sent_s=message.sent_s,
         )
         self._homes[message.server] = home
         if home.granted_slices != previous.granted_slices:
--- a/berylweir/keeper/grants/task.py
+++ b/berylweir/keeper/grants/task.py
@@ -81,6 +81,7 @@
         self, client: httpx.AsyncClient, call: messages.ServerRequest
     ) -> None:
         self._metrics.count("keeper.grants.calls")
+        sent_s = time.monotonic()
         try:
             async with asyncio.timeout(_CALL_TIMEOUT_S):
                 if call.request is None:
@@ -99,6 +100,6 @@
             return
         self._deliver(
             messages.ServerResponded(
-                call.server, call.request, status, time.monotonic()
+                call.server, call.request, status, sent_s, time.monotonic()
             )
         )
--- a/berylweir/keeper/messages.py
+++ b/berylweir/keeper/messages.py
@@ -72,12 +72,15 @@
         server: Name of the backend server.
         request: The grant that was sent, or None for a probe.
         status: The response.
+        sent_s: When the grant or probe was sent, on the monotonic clock, in
+            seconds.
         arrived_s: When it arrived, on the monotonic clock, in seconds.
     """
 
     server: str
     request: backendapi.GrantRequest | None
     status: backendapi.ServerStatus
+    sent_s: float
     arrived_s: float
 
 
--- a/berylweir/replay/keepers.py
+++ b/berylweir/replay/keepers.py
@@ -152,7 +152,7 @@
             return
         previous = home
         home = grants.record_response(
-            home, message.request, message.status, now
+            home, message.request, message.status, now, sent_s=message.sent_s
         )
         self._homes[message.server] = home
         if home.granted_slices != previous.granted_slices:
@@ -401,7 +401,7 @@
         self._sim.send(
             self._name,
             home.server.name,
-            messages.GrantOrProbe(request, self._name),
+            messages.GrantOrProbe(request, self._name, now),
         )
 
     def _send_heartbeats(self, now: float) -> None:
--- a/berylweir/replay/messages.py
+++ b/berylweir/replay/messages.py
@@ -193,10 +193,12 @@
     Attributes:
         request: Grant, or None for a probe.
         reply_to: Actor that gets the status.
+        sent_s: When it was sent.
     """
 
     request: backendapi.GrantRequest | None
     reply_to: str
+    sent_s: float
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -291,11 +293,13 @@
         server: Name of the server.
         request: Grant that it answers, or None for a probe.
         status: Status of the server.
+        sent_s: When the grant or probe was sent.
     """
 
     server: str
     request: backendapi.GrantRequest | None
     status: backendapi.ServerStatus
+    sent_s: float
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/berylweir/replay/servers.py
+++ b/berylweir/replay/servers.py
@@ -221,7 +221,9 @@
         self._sim.send(
             self._name,
             message.reply_to,
-            messages.StatusReceived(self._name, message.request, status),
+            messages.StatusReceived(
+                self._name, message.request, status, message.sent_s
+            ),
         )
 
     def _record_ownership(self, expires_at_s: float) -> None:
--- a/tests/keeper/simulation.py
+++ b/tests/keeper/simulation.py
@@ -643,6 +643,7 @@
         """Sends a grant or a probe; ignores responses after 0.3 s."""
         server = self.servers[server_request.server]
         sent_s = self.now
+        node_sent_s = self._node_time_s(node)
         has_responded = False
 
         def handle_arrival() -> None:
@@ -664,6 +665,7 @@
                         server.name,
                         server_request.request,
                         status,
+                        node_sent_s,
                         self._node_time_s(node),
                     ),
                 )
--- a/tests/keeper/test_grants.py
+++ b/tests/keeper/test_grants.py
@@ -40,7 +40,9 @@
     server after it.
     """
     server = backend.BackendState(backend.BackendConfig("s-0"), lambda: 10.0)
-    home = decisions.record_response(_home_state(), None, server.status(), 0.0)
+    home = decisions.record_response(
+        _home_state(), None, server.status(), 0.0, sent_s=0.0
+    )
     late_grant = decisions.next_grant(home, 0.1, _TIMINGS, safety)
     drained_home = dataclasses.replace(home, served_slices=frozenset())
     revocation = decisions.next_grant(drained_home, 0.2, _TIMINGS, safety)
@@ -49,7 +51,7 @@
     assert late_grant.slices == (backendapi.SliceGrant(3, 5),)
     status = server.grant(revocation)
     released_home = decisions.record_response(
-        drained_home, revocation, status, 0.2, safety
+        drained_home, revocation, status, 0.2, safety, sent_s=0.2
     )
     assert decisions.find_releases(released_home, 0.2, _TIMINGS, safety) == (
         decisions.Release((3,), True),
@@ -71,7 +73,9 @@
             moving_slices=(),
             served_slices=frozenset({4}),
         )
-        home = decisions.record_response(home, None, server.status(), 0.0)
+        home = decisions.record_response(
+            home, None, server.status(), 0.0, sent_s=0.0
+        )
         valid_until_times_s = []
         for delegated_until_s in (1.0, 2.0):
             home = dataclasses.replace(
@@ -84,13 +88,49 @@
                 decisions.build_home_server(home).valid_until_s
             )
             home = decisions.record_response(
-                home, request, server.grant(request), 0.0
+                home, request, server.grant(request), 0.0, sent_s=0.0
             )
             valid_until_times_s.append(
                 decisions.build_home_server(home).valid_until_s
             )
         assert valid_until_times_s == [-math.inf, 1.0, 1.0, 2.0]
 
+    def test_expiry_counts_from_the_sending_of_its_grant(self):
+        """Guards against an authority that outlasts the server's grant.
+
+        The next call is queued while the server's response is on its way.
+        """
+        server = backend.BackendState(backend.BackendConfig("s-0"), lambda: 0.0)
+        home = decisions.record_response(
+            _home_state(), None, server.status(), 0.0, sent_s=0.0
+        )
+        request = decisions.next_grant(home, 0.0, _TIMINGS)
+        assert request is not None
+        home = decisions.record_request(home, request, 0.0)
+        home = decisions.record_request(home, request, 0.25)
+        home = decisions.record_response(
+            home, request, server.grant(request), 0.3, sent_s=0.0
+        )
+        assert home.acknowledged_until_s == request.expires_at_s
+
+
+class TestIdleServer:
+    """Responses of a server that reports no request in flight."""
+
+    def test_is_idle_as_of_the_sending_of_the_probe(self):
+        """Guards against dropping a request that was sent after the report.
+
+        A request that is sent and abandoned while the response is on its way
+        may still be running.
+        """
+        server = backend.BackendState(backend.BackendConfig("s-0"), lambda: 0.0)
+        home = _home_state()
+        for sent_s, received_s in ((0.0, 0.1), (0.35, 0.5)):
+            home = decisions.record_response(
+                home, None, server.status(), received_s, sent_s=sent_s
+            )
+        assert home.last_idle_s == 0.35
+
 
 class TestRevocation:
     """Revocations of moving slices."""
@@ -112,7 +152,7 @@
             backend.BackendConfig("s-0"), lambda: 10.0
         )
         home = decisions.record_response(
-            _home_state(), None, server.status(), 0.0
+            _home_state(), None, server.status(), 0.0, sent_s=0.0
         )
         home = dataclasses.replace(
             home, served_slices=frozenset(), delegated_until_s=-math.inf
@@ -134,12 +174,14 @@
             backend.BackendConfig("s-0"), lambda: 10.0
         )
         home = decisions.record_response(
-            _home_state(), None, server.status(), 0.0
+            _home_state(), None, server.status(), 0.0, sent_s=0.0
         )
         home = dataclasses.replace(home, served_slices=frozenset())
         revocation = decisions.next_grant(home, 0.1, _TIMINGS)
         status = server.grant(revocation)
-        home = decisions.record_response(home, revocation, status, 0.1)
+        home = decisions.record_response(
+            home, revocation, status, 0.1, sent_s=0.1
+        )
         partition = schemas.Partition(
             "stock",
             0,
