Close the connections of readiness checks and metrics at a stop

Planned stops logged errors: "Exception in callback StreamReaderProtocol.connection_made", with a CancelledError at the read of a readiness check.

The server closed its listener at the stop and left the open connections to the end of the event loop, which cancels their tasks. asyncio logs an error for a task of a connection that ends in this way, and the connections stayed open until then.

The server now resets its connections when it stops, and waits for their tasks.

tests/gateway/ingress/test_probes.py failed before (two such errors were logged, and the connections stayed open) and passes now. pytest tests/gateway/ingress tests/gateway/test_stop.py passes.

--- a/berylweir/gateway/ingress/probes.py
+++ b/berylweir/gateway/ingress/probes.py
@@ -35,9 +35,13 @@
         """
         self._host, self._port = address
         self._respond = respond
+        self._connections: dict[asyncio.Task[None], asyncio.StreamWriter] = {}
+        self._is_closed = False
 
     async def run(self, context: supervision.ChildContext) -> None:
         """Serves requests until the supervisor stops the child."""
+        self._is_closed = False
+        context.stack.push_async_callback(self._close_connections)
         server = await asyncio.start_server(
             self._handle_connection, self._host, self._port, reuse_address=True
         )
@@ -45,11 +49,27 @@
         context.report_ready()
         await context.stop_event.wait()
 
+    async def _close_connections(self) -> None:
+        """Ends all connections, and waits until their tasks have ended.
+
+        asyncio logs an error for each such task that is cancelled.
+        """
+        self._is_closed = True
+        # Lets the tasks of connections that were just accepted start.
+        await asyncio.sleep(0)
+        for writer in self._connections.values():
+            writer.transport.abort()
+        if self._connections:
+            await asyncio.wait(tuple(self._connections))
+
     async def _handle_connection(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
+        task = asyncio.current_task()
+        assert task is not None
+        self._connections[task] = writer
         try:
-            while True:
+            while not self._is_closed:
                 head = await reader.readuntil(b"\r\n\r\n")
                 path = head.split(b" ", 2)[1].decode("latin-1")
                 response = self._respond(path)
@@ -73,4 +93,5 @@
         ):
             pass  # The client repeats its check, so the error can be ignored.
         finally:
+            del self._connections[task]
             writer.close()
