Read the statements of a streamed response with its head

What callers saw: while a leaving server sent a long response, other requests still went to it, later than the platform allows after its statement (DRAIN). A limit that a server named meanwhile could be lifted by the older head of a stream that ended later.

Cause: what a server says of itself was reported to the dispatcher with the end of the attempt, which for a streamed body is the end of the stream. The same held for a stream through another gateway.

Change: an attempt whose body is streamed reports the statements at once, with the message StatementsReceived, and not again at its end. A forwarded stream does so with the server that is leaving.

Measured, failing before and passing after: pytest tests/gateway/test_server_statements.py tests/gateway/test_forwarding.py -k long_response: 2 failed before (a second request reached the leaving server; the gateway didn't know of it after 1.5 s), 2 pass. tests/gateway/dispatch, test_forwarding.py, test_path.py, test_server_statements.py: no failure.

--- a/berylweir/gateway/dispatch/task.py
+++ b/berylweir/gateway/dispatch/task.py
@@ -132,6 +132,8 @@
                 self._finish_attempt(message)
             case messages.ForwardFinished():
                 self._finish_forward(message)
+            case messages.StatementsReceived(server, statements):
+                self._receive_statements(server, statements)
             case messages.ResponseOverdue(placement):
                 state = self._deployment.servers.get(placement.server.instance)
                 if state is not None:
@@ -302,11 +304,21 @@
     def _finish_forward(self, finished: messages.ForwardFinished) -> None:
         now_s = self._now_s()
         self._forwarding.finish(finished, now_s)
-        if finished.leaving_server is None:
-            return
-        state = self._deployment.servers.get(finished.leaving_server)
+        if finished.leaving_server is not None:
+            self._receive_statements(
+                finished.leaving_server,
+                models.ServerStatements(is_leaving=True),
+            )
+
+    def _receive_statements(
+        self,
+        server: models.ServerInstance,
+        statements: models.ServerStatements,
+    ) -> None:
+        """Applies statements that don't come with the end of an attempt."""
+        state = self._deployment.servers.get(server)
         if state is not None:
-            statements = models.ServerStatements(is_leaving=True)
+            now_s = self._now_s()
             state.apply_statements(statements, now_s)
             self._record_statements(state, statements, now_s)
 
--- a/berylweir/gateway/exchange/attempt.py
+++ b/berylweir/gateway/exchange/attempt.py
@@ -59,6 +59,7 @@
         self._is_finished = False
         self._result = messages.AttemptResult.ABANDONED
         self._response_head: requests.ResponseHead | None = None
+        self._statements = models.ServerStatements()
         self._loop = asyncio.get_running_loop()
 
     @property
@@ -157,6 +158,7 @@
             return outcomes.Unknown(), messages.AttemptResult.BROKEN
         head = requests.decode_response(raw_head.status, raw_head.headers)
         self._response_head = head
+        self._statements = head.statements
         if head.reports_not_run:
             await _skip_body(connection)
             attempt_result = (
@@ -178,6 +180,7 @@
                 stack.enter_context(self._memory.open(source)),
             )
             if answer.remaining_body is not None:
+                self._report_statements()
                 # The stream itself doesn't end if it was never begun.
                 stack.callback(
                     self._finish_stream, responses.StreamEnd.ABANDONED
@@ -191,6 +194,15 @@
             return outcomes.ServerFailed(answer), messages.AttemptResult.FAILED
         return outcomes.Answered(answer), messages.AttemptResult.SERVED
 
+    def _report_statements(self) -> None:
+        """Reports them at once; the end of a stream may be far away."""
+        self._inbox.post(
+            messages.StatementsReceived(
+                self._placement.server.instance, self._statements
+            )
+        )
+        self._statements = models.ServerStatements()
+
     def _finish_stream(self, end: responses.StreamEnd) -> None:
         self._report_result(_RESULTS_OF_STREAMS[end])
 
@@ -233,7 +245,7 @@
                 self._requirements,
                 attempt_result,
                 connection,
-                head.statements if head else models.ServerStatements(),
+                self._statements,
                 head.keep_alive_timeout_s if head else None,
                 self._loop.time() - self._placement.placed_s,
             )
--- a/berylweir/gateway/forwarding/client.py
+++ b/berylweir/gateway/forwarding/client.py
@@ -160,6 +160,7 @@
             )
             if kind is exchange.AnswerKind.SERVED and head.is_signed:
                 if answer.remaining_body is not None:
+                    self._report_leaving()
                     # The stream itself doesn't end if it was never begun.
                     stack.callback(
                         self._finish_stream, responses.StreamEnd.ABANDONED
@@ -179,6 +180,16 @@
             case exchange.AnswerKind.FAILED:
                 return outcomes.Failed(head.status), _Result.ANSWERED
 
+    def _report_leaving(self) -> None:
+        """Reports it at once; the end of a stream may be far away."""
+        if self._leaving_server is not None:
+            self._inbox.post(
+                messages.StatementsReceived(
+                    self._leaving_server,
+                    models.ServerStatements(is_leaving=True),
+                )
+            )
+
     def _finish_stream(self, end: responses.StreamEnd) -> None:
         self._report(_RESULTS_OF_STREAMS[end])
 
--- a/berylweir/gateway/messages.py
+++ b/berylweir/gateway/messages.py
@@ -290,7 +290,8 @@
         requirements: What the request needed.
         attempt_result: How the attempt ended.
         connection: Connection that can be reused, if any.
-        statements: What the server said of itself in the response.
+        statements: What the server said of itself in the response, unless it
+            was reported before.
         keep_alive_timeout_s: Time for which the server keeps an idle
             connection, if it said so, in seconds.
         elapsed_s: Time since the server was chosen, in seconds.
@@ -341,6 +342,19 @@
     leaving_server: models.ServerInstance | None = None
 
 
+@records.record
+class StatementsReceived:
+    """Reports what a server says of itself, before its response has ended.
+
+    Attributes:
+        server: The server.
+        statements: What it said in the head of the response.
+    """
+
+    server: models.ServerInstance
+    statements: models.ServerStatements
+
+
 @records.record
 class ResponseOverdue:
     """Reports that a request on an earlier connection waits for its response.
@@ -514,6 +528,7 @@
     | PlacementReturned
     | AttemptFinished
     | ForwardFinished
+    | StatementsReceived
     | ResponseOverdue
     | ServerProbed
     | CollectKeyUsage
--- a/tests/gateway/test_forwarding.py
+++ b/tests/gateway/test_forwarding.py
@@ -204,6 +204,31 @@
                 await gateway.ask("/r/1", f"a{number}")
             assert len(leaving.arrivals) == arrived
 
+    async def test_statement_of_a_long_response_is_read_at_its_end(self):
+        """Guards against use of a server that has told another gateway."""
+        async with start_deployment() as deployment:
+            gateway, _ = split_by_lease(deployment)
+            await cut(deployment, gateway)
+            headers = {
+                "Request-Id": "a",
+                "Response-Seal": "x",
+                "Server-Leaving": "1",
+            }
+            for server in deployment.servers.values():
+                server.next_responses = [
+                    http.Response(
+                        200, headers, bytes(65_536), repeats_body=True
+                    )
+                ]
+            caller = await gateway.connect()
+            caller.send("/r/1", "a", deadline_ms=20_000)
+            await caller.reader.readuntil(b"\r\n\r\n")
+            gauges = gateway.metrics.gauges
+            await rig.until(
+                lambda: gauges.get("gateway.servers_leaving") == 1, 1.5
+            )
+            caller.writer.close()
+
     async def test_rejected_request_is_refused_with_retry_after(self):
         """Guards against taking a rejection for a run."""
         async with start_deployment("unsafe") as deployment:
--- a/tests/gateway/test_server_statements.py
+++ b/tests/gateway/test_server_statements.py
@@ -3,6 +3,7 @@
 import asyncio
 
 from berylweir.gateway import models
+from berylweir.standin.gateway_platform import http
 from tests.gateway import rig as rigs
 
 # Time within which each keyed server must have an owner again, and the time
@@ -27,6 +28,36 @@
                 assert "server-leaving" not in reply.headers
             assert len(leaving.executions) == 1
 
+    async def test_leaving_server_is_used_until_its_long_response_ends(self):
+        """Guards against reading the statement at the end of a download."""
+        async with rigs.Rig() as rig:
+            await rig.configure({"g": False}, [rigs.route("r", "g")])
+            leaving = await rig.add_server("s1", "g")
+            headers = {
+                "Request-Id": "a",
+                "Response-Seal": "x",
+                "Server-Leaving": "1",
+            }
+            leaving.next_responses = [
+                http.Response(200, headers, bytes(65_536), repeats_body=True)
+            ]
+            gateway = await rig.add_gateway()
+            caller = await gateway.connect()
+            caller.send("/r/x", "a", deadline_ms=20_000)
+            await caller.reader.readuntil(b"\r\n\r\n")
+            other = await rig.add_server("s2", "g")
+
+            async def is_other_used() -> bool:
+                await gateway.ask("/r/x", "b")
+                return bool(other.executions)
+
+            await rigs.until(is_other_used)
+            executed_before = len(leaving.executions)
+            for number in range(30):
+                assert (await gateway.ask("/r/x", f"c{number}")).status == 200
+            assert len(leaving.executions) == executed_before
+            caller.writer.close()
+
     async def test_keys_of_a_leaving_owner_stay_with_it(self):
         """Guards against requests for keys after the owner's time to drain."""
         async with rigs.Rig() as rig:
