Refund retries whose connection failed

What callers saw: 503 with the reason retry_budget while fewer retries than allowed had reached the servers, when connections were refused or pooled ones had ended.

Cause: only a placement that was returned refunded its retry. An attempt that ended before it sent anything (UNREACHABLE, STALE) kept it.

Change: the dispatcher refunds the retry of these attempts as well.

Measured: pytest tests/gateway/dispatch -k unsent_retry: 2 failed before, 2 pass; tests/gateway/dispatch: no failure.

--- a/berylweir/gateway/dispatch/task.py
+++ b/berylweir/gateway/dispatch/task.py
@@ -33,6 +33,10 @@
 
 Inbox = mailbox.Mailbox[messages.DispatcherMessage]
 _Reason = messages.RefusalReason
+# Results of attempts whose request wasn't sent.
+_UNSENT_RESULTS = frozenset(
+    {messages.AttemptResult.UNREACHABLE, messages.AttemptResult.STALE}
+)
 
 
 def create_inbox() -> Inbox:
@@ -269,10 +273,8 @@
         now_s = self._now_s()
         placement = returned.placement
         requirements = returned.requirements
-        group = self._deployment.groups.get(requirements.group)
         self._suspects.end(requirements)
-        if group is not None and requirements.is_retry:
-            group.budget.refund()
+        self._refund_retry(requirements)
         state = self._deployment.servers.get(placement.server.instance)
         if state is None:
             if placement.connection is not None:
@@ -284,11 +286,18 @@
         if placement.connection is not None:
             self._release_connection(state, placement.connection, None, now_s)
 
+    def _refund_retry(self, requirements: messages.ServerRequirements) -> None:
+        group = self._deployment.groups.get(requirements.group)
+        if group is not None and requirements.is_retry:
+            group.budget.refund()
+
     def _finish_attempt(self, finished: messages.AttemptFinished) -> None:
         now_s = self._now_s()
         state = self._deployment.servers.get(finished.placement.server.instance)
         connection = finished.connection
         self._suspects.finish(finished, state, now_s)
+        if finished.attempt_result in _UNSENT_RESULTS:
+            self._refund_retry(finished.requirements)
         if state is None:
             if connection is not None:
                 connection.close()
--- a/tests/gateway/dispatch/test_task.py
+++ b/tests/gateway/dispatch/test_task.py
@@ -113,12 +113,14 @@
         attempt_result: messages.AttemptResult = messages.AttemptResult.SERVED,
         statements: models.ServerStatements | None = None,
         connection: http.Connection | None = None,
+        *,
+        is_retry: bool = False,
     ) -> None:
         """Reports the end of an attempt."""
         self.inbox.post(
             messages.AttemptFinished(
                 placement,
-                self.requirements(),
+                self.requirements(is_retry=is_retry),
                 attempt_result,
                 connection,
                 statements or models.ServerStatements(),
@@ -173,6 +175,24 @@
             refusal = await harness.place(is_retry=True)
             assert refusal.reason is messages.RefusalReason.RETRY_BUDGET
 
+    @pytest.mark.parametrize(
+        "attempt_result",
+        [messages.AttemptResult.UNREACHABLE, messages.AttemptResult.STALE],
+    )
+    async def test_unsent_retry_uses_the_retry_budget(self, attempt_result):
+        """Guards against refusals of retries after lost connections."""
+        bounds = models.Bounds(retry_ratio=0.0, retry_slack=1.5)
+        async with DispatcherHarness(bounds) as harness:
+            placement = await harness.place(is_retry=True)
+            harness.finish(placement, attempt_result, is_retry=True)
+            restarted = dataclasses.replace(harness.server, born_ms=2)
+            harness.inbox.post(messages.ServersChanged({"s": restarted}))
+            placement = await harness.place(is_retry=True)
+            assert isinstance(placement, messages.Placement)
+            harness.finish(placement, is_retry=True)
+            refusal = await harness.place(is_retry=True)
+            assert refusal.reason is messages.RefusalReason.RETRY_BUDGET
+
 
 class TestForwarding:
     """Requests for servers that this VM can't reach."""
