Confirm the server of a request that has waited

What servers saw: requests that had been placed before the server stated a pause, a limit or that it is leaving still arrived after it, up to 0.6 s for the connection and the wait for a permit later.

Cause: an attempt opened its connection and sent the request without another look at the server.

Change: if a placement is older than 0.05 s when the request is to be sent, the dispatcher confirms it, by the same statements, the entry in the store and the owner of the key. Otherwise the placement is returned and a server is chosen again. That uses neither an attempt nor the retry budget. Counted by gateway.withdrawn.

Measured: pytest tests/gateway/test_server_statements.py -k PlacedRequests: 2 failed before (a request in the pause; 7 arrivals where the limit allows 4), 2 pass. tests/gateway/dispatch, test_path.py, test_keyed_path.py, test_server_limits.py, test_outcomes.py, tests/docs: no failure.

--- a/berylweir/gateway/dispatch/availability.py
+++ b/berylweir/gateway/dispatch/availability.py
@@ -12,6 +12,35 @@
 _LEAVING_USE_SHARE = 0.6
 
 
+def is_still_available(
+    state: dispatch.ServerState,
+    now_s: float,
+    drain_s: float,
+    *,
+    has_permit: bool,
+) -> bool:
+    """Returns whether a server's statements still allow a placed request.
+
+    Args:
+        state: The server.
+        now_s: Time on the loop's clock, in seconds.
+        drain_s: Time after which a server that said that it is leaving gets no
+            more requests, in seconds.
+        has_permit: Whether the server's limit allows the request.
+    """
+    if state.limit is not None and not has_permit:
+        return False
+    return isinstance(
+        decisions.check_statements(
+            state,
+            float("inf"),
+            now_s,
+            leaving_use_s=_LEAVING_USE_SHARE * drain_s,
+        ),
+        decisions.Available,
+    )
+
+
 def select_available(
     servers: Sequence[dispatch.ServerState],
     queue_deadline_s: float,
--- a/berylweir/gateway/dispatch/placement.py
+++ b/berylweir/gateway/dispatch/placement.py
@@ -89,6 +89,39 @@
             )
         return self._try_place_on_any_server(place_request, group, now_s)
 
+    def is_still_allowed(
+        self,
+        placement: messages.Placement,
+        requirements: messages.ServerRequirements,
+        now_s: float,
+    ) -> bool:
+        """Returns whether a request that was placed before may be sent.
+
+        Args:
+            placement: Its server.
+            requirements: What the request needs.
+            now_s: Time on the loop's clock, in seconds.
+        """
+        instance = placement.server.instance
+        state = self._deployment.servers.get(instance)
+        if state is None or not self._deployment.is_eligible(state):
+            return False
+        group = self._deployment.groups.get(requirements.group)
+        if (
+            group is not None
+            and group.settings.is_keyed
+            and requirements.key is not None
+            and group.table is not None
+            and decisions.find_owner(group.table, requirements.key) != instance
+        ):
+            return False
+        return availability.is_still_available(
+            state,
+            now_s,
+            self._bounds.drain_s,
+            has_permit=placement.limit is not None,
+        )
+
     def _try_place_on_owner(
         self,
         place_request: messages.PlaceRequest,
--- a/berylweir/gateway/dispatch/task.py
+++ b/berylweir/gateway/dispatch/task.py
@@ -130,6 +130,13 @@
         match message:
             case messages.PlaceRequest():
                 self._place_or_queue(message)
+            case messages.ConfirmPlacement(placement, requirements, reply):
+                if not reply.done():
+                    reply.set_result(
+                        self._placer.is_still_allowed(
+                            placement, requirements, self._now_s()
+                        )
+                    )
             case messages.PlacementReturned():
                 self._take_back(message)
             case messages.AttemptFinished():
--- a/berylweir/gateway/exchange/attempt.py
+++ b/berylweir/gateway/exchange/attempt.py
@@ -21,6 +21,9 @@
 # this many bytes and for this time in seconds. Rejections are short.
 _MAX_REJECTION_BYTES = 65_536
 _REJECTION_TIMEOUT_S = 0.2
+# Age of a placement up to which it isn't confirmed before the request is sent,
+# in seconds. It is short beside the times that the platform allows.
+_MAX_UNCONFIRMED_S = 0.05
 _RESULTS_OF_STREAMS = {
     responses.StreamEnd.COMPLETE: messages.AttemptResult.SERVED,
     responses.StreamEnd.BROKEN: messages.AttemptResult.BROKEN,
@@ -103,6 +106,9 @@
                 )
             except (OSError, TimeoutError):
                 return outcomes.NotSent(), messages.AttemptResult.UNREACHABLE
+        if not await self._is_confirmed():
+            self._return_placement()
+            return outcomes.Withdrawn(), messages.AttemptResult.STALE
         connection = self._connection
         remaining_s = requirements.deadline_s - self._loop.time()
         try:
@@ -142,6 +148,36 @@
             )
             return outcomes.Unknown(), attempt_result
 
+    async def _is_confirmed(self) -> bool:
+        """Returns whether the server still takes the request.
+
+        It may have said or shown something else while the request waited for
+        a permit or a connection.
+        """
+        waited_s = self._loop.time() - self._placement.placed_s
+        if waited_s < _MAX_UNCONFIRMED_S:
+            return True
+        reply: asyncio.Future[bool] = self._loop.create_future()
+        self._inbox.post(
+            messages.ConfirmPlacement(
+                self._placement, self._requirements, reply
+            )
+        )
+        return await reply
+
+    def _return_placement(self) -> None:
+        """Returns the placement in place of a report on the attempt."""
+        self._is_finished = True
+        self._inbox.post(
+            messages.PlacementReturned(
+                dataclasses.replace(
+                    self._placement, connection=self._connection
+                ),
+                self._requirements,
+                None,
+            )
+        )
+
     async def _read_response(
         self,
         request: exchange.CallerRequest,
--- a/berylweir/gateway/exchange/handler.py
+++ b/berylweir/gateway/exchange/handler.py
@@ -242,7 +242,11 @@
         state.sent_to = placement.server.name
         outcome = await sending.run(request)
         state.sent_to = None
-        state.tried_instances |= {placement.server.instance}
+        match outcome:
+            case outcomes.Withdrawn():
+                pass
+            case _:
+                state.tried_instances |= {placement.server.instance}
         match outcome:
             case outcomes.NotSent():
                 state.unsent_attempts += 1
@@ -254,6 +258,8 @@
                         if state.may_have_run
                         else outcomes.Refuse()
                     )
+            case outcomes.Withdrawn():
+                self._metrics.count("gateway.withdrawn")
             case outcomes.NotRun(attempt_result):
                 state.sent_attempts += 1
                 if attempt_result is messages.AttemptResult.MISDIRECTED:
--- a/berylweir/gateway/exchange/outcomes.py
+++ b/berylweir/gateway/exchange/outcomes.py
@@ -38,6 +38,11 @@
     """The request wasn't sent, since there was no usable connection."""
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Withdrawn:
+    """The request wasn't sent, since the server takes it no longer."""
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Unknown:
     """The request was sent, but no complete valid response was received.
@@ -51,7 +56,9 @@
     """The request was sent, but its deadline passed without a response."""
 
 
-Outcome = Answered | ServerFailed | NotRun | NotSent | Unknown | OutOfTime
+Outcome = (
+    Answered | ServerFailed | NotRun | NotSent | Withdrawn | Unknown | OutOfTime
+)
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -133,7 +140,7 @@
             if is_idempotent and remaining_attempts > 0:
                 return TryAgain(uses_retry_budget=True)
             return Return(answer)
-        case NotSent():
+        case NotSent() | Withdrawn():
             return TryAgain(uses_retry_budget=False)
         case NotRun():
             if remaining_attempts > 0:
--- a/berylweir/gateway/messages.py
+++ b/berylweir/gateway/messages.py
@@ -342,6 +342,21 @@
     leaving_server: models.ServerInstance | None = None
 
 
+@records.record
+class ConfirmPlacement:
+    """Asks the dispatcher whether a request may still be sent.
+
+    Attributes:
+        placement: Server that was chosen for it.
+        requirements: What the request needs.
+        reply: Receives the answer; cancelled if the caller disconnects.
+    """
+
+    placement: Placement
+    requirements: ServerRequirements
+    reply: "asyncio.Future[bool]"
+
+
 @records.record
 class StatementsReceived:
     """Reports what a server says of itself, before its response has ended.
@@ -525,6 +540,7 @@
 DispatcherMessage = (
     StoreUpdate
     | PlaceRequest
+    | ConfirmPlacement
     | PlacementReturned
     | AttemptFinished
     | ForwardFinished
--- a/tests/gateway/dispatch/test_task.py
+++ b/tests/gateway/dispatch/test_task.py
@@ -293,6 +293,66 @@
             )
 
 
+class TestConfirmation:
+    """Requests that waited since their server was chosen."""
+
+    async def is_confirmed(
+        self, harness: DispatcherHarness, placement: messages.Placement
+    ) -> bool:
+        """Returns whether a request may still be sent."""
+        reply = asyncio.get_running_loop().create_future()
+        harness.inbox.post(
+            messages.ConfirmPlacement(
+                placement, harness.requirements(key=7), reply
+            )
+        )
+        return await reply
+
+    @pytest.mark.parametrize(
+        "change",
+        [
+            messages.StatementsReceived(
+                models.ServerInstance("s", 1),
+                models.ServerStatements(is_leaving=True),
+            ),
+            messages.StatementsReceived(
+                models.ServerInstance("s", 1),
+                models.ServerStatements(pause=models.Pause(5.0)),
+            ),
+            messages.StatementsReceived(
+                models.ServerInstance("s", 1),
+                models.ServerStatements(rate_limit=models.RateLimited(9.0)),
+            ),
+            messages.ServersChanged({}),
+            messages.EvacuationsChanged(frozenset("a")),
+            messages.KeyTableChanged(
+                dataclasses.replace(
+                    tables.create("g", [models.ServerInstance("t", 1)], 2),
+                    revision=2,
+                )
+            ),
+        ],
+    )
+    async def test_server_gets_a_request_that_it_no_longer_takes(self, change):
+        """Guards against requests that were placed before a change."""
+        bounds = models.Bounds(drain_s=0.0)
+        async with DispatcherHarness(bounds, is_keyed=True) as harness:
+            placement = await harness.place(key=7)
+            assert await self.is_confirmed(harness, placement)
+            harness.inbox.post(change)
+            assert not await self.is_confirmed(harness, placement)
+
+    async def test_request_with_a_permit_is_withdrawn(self):
+        """Guards against requests to a limited server that are never sent."""
+        async with DispatcherHarness(models.Bounds(), is_keyed=True) as harness:
+            limited = models.ServerStatements(
+                rate_limit=models.RateLimited(9.0)
+            )
+            harness.finish(await harness.place(key=7), statements=limited)
+            placement = await harness.place(key=7)
+            assert await self.is_confirmed(harness, placement)
+
+
 class TestProbes:
     """Servers to which no connection can be opened."""
 
--- a/tests/gateway/rig.py
+++ b/tests/gateway/rig.py
@@ -228,6 +228,7 @@
         self.unanswered: set[str] = set()
         self.unwritable: set[str] = set()
         self.store_calls: dict[str, list[str]] = {}
+        self.connect_delay_s = 0.0
         self._cuts: dict[str, Cut] = {}
         self._connect = http_client.connect
         self._server_connections: dict[str, list[http_client.Connection]] = {}
@@ -272,6 +273,7 @@
                 raise TimeoutError
             case None:
                 pass
+        await asyncio.sleep(self.connect_delay_s)
         connection = await self._connect(host, port, timeout_s, **options)
         self._server_connections.setdefault(vm, []).append(connection)
         return connection
--- a/tests/gateway/test_server_statements.py
+++ b/tests/gateway/test_server_statements.py
@@ -125,3 +125,46 @@
             waits_s = [float(r.headers["retry-after"]) for r in replies[1:]]
             assert max(waits_s) <= 2.0
             assert waits_s == sorted(waits_s, reverse=True)
+
+
+class TestPlacedRequests:
+    """Requests that wait for a connection when their server says something."""
+
+    def place(
+        self, rig: rigs.Rig, gateway: rigs.Gateway, request_id: str
+    ) -> asyncio.Task[rigs.Reply]:
+        """Starts a request that gets its connection after 0.4 s."""
+        rig.connect_delay_s = 0.4
+        return asyncio.create_task(gateway.ask("/r/x", request_id))
+
+    async def test_request_is_sent_in_a_pause(self):
+        """Guards against requests that were placed before the pause began."""
+        async with rigs.Rig() as rig:
+            await rig.configure(
+                {"g": False},
+                [rigs.route("r", "g", attempts=1, goal_ms=1000)],
+            )
+            server = await rig.add_server("s1", "g", slots=0)
+            server.rejection_pause_s = 2.0
+            gateway = await rig.add_gateway()
+            first = self.place(rig, gateway, "a1")
+            await asyncio.sleep(0.3)
+            assert (await self.place(rig, gateway, "a2")).status == 503
+            assert (await first).status == 503
+            assert [a.request_id for a in server.arrivals] == ["a1"]
+
+    async def test_request_is_sent_beyond_a_limit(self):
+        """Guards against requests without a permit of the new limit."""
+        async with rigs.Rig() as rig:
+            await rig.configure({"g": False}, [rigs.route("r", "g")])
+            server = await rig.add_server("s1", "g", slots=20)
+            server.limit_per_s = 0.0
+            gateway = await rig.add_gateway()
+            first = self.place(rig, gateway, "a")
+            await asyncio.sleep(0.3)
+            replies = await asyncio.gather(
+                *(self.place(rig, gateway, f"b{n}") for n in range(6))
+            )
+            assert (await first).status == 200
+            assert len(server.arrivals) <= 4
+            assert {r.status for r in replies} == {200, 503}
