Look at what servers state before their slow start

What callers saw: requests waited for a cold server until they were too late, though its pause was known to outlast them; and they were refused at once with the pause of another server as Retry-After, though a cold server would have taken them a moment later.

Cause: servers that slow start keeps from a request were left out before their statements were looked at, and the refusal was made of the others alone.

Change: among the servers within their rates, the statements decide as before. If none is left, the refusal is COLD, which waits, if a server is kept from the request by slow start only, and otherwise that of the statements of all.

Measured: pytest tests/gateway/dispatch -k "cold_server": 3 failed before (two waited beyond 5 s, one was refused), 3 pass; tests/gateway/dispatch: no failure.

--- a/berylweir/gateway/dispatch/placement.py
+++ b/berylweir/gateway/dispatch/placement.py
@@ -1,6 +1,7 @@
 """Chooses the server of a request, or another gateway that gets it."""
 
 from collections.abc import Collection
+from collections.abc import Sequence
 import random
 
 from berylweir.gateway import messages
@@ -152,13 +153,11 @@
                 messages.OwnerUnreachable(state.server.instance),
                 now_s,
             )
-        if not self._is_within_slow_start_rate(state, group.settings, now_s):
-            return refusals.create(_Reason.COLD)
-        available = availability.select_available(
+        available = self._select_available(
             [state],
+            group.settings,
             place_request.requirements.queue_deadline_s,
             now_s,
-            self._bounds.drain_s,
             all_leaving=_Reason.NO_OWNER,
         )
         if isinstance(available, messages.NotPlaced):
@@ -183,18 +182,11 @@
         eligible = [s for s in sampled if self._deployment.is_eligible(s)]
         if not eligible:
             return refusals.create(_Reason.NO_SERVER)
-        within_rate = [
-            s
-            for s in eligible
-            if self._is_within_slow_start_rate(s, group.settings, now_s)
-        ]
-        if not within_rate:
-            return refusals.create(_Reason.COLD)
-        available = availability.select_available(
-            within_rate,
+        available = self._select_available(
+            eligible,
+            group.settings,
             requirements.queue_deadline_s,
             now_s,
-            self._bounds.drain_s,
             all_leaving=_Reason.NO_SERVER,
         )
         if isinstance(available, messages.NotPlaced):
@@ -264,6 +256,58 @@
             state
         ) and self._connectivity.allows_connection(state.server)
 
+    def _select_available(
+        self,
+        servers: Sequence[dispatch.ServerState],
+        settings: models.ServerGroup,
+        queue_deadline_s: float,
+        now_s: float,
+        *,
+        all_leaving: messages.RefusalReason,
+    ) -> list[dispatch.ServerState] | messages.NotPlaced:
+        """Returns the servers that slow start and their statements allow.
+
+        If there are none, a server that only slow start keeps from the request
+        goes before the others in the refusal: it may take one soon.
+
+        Args:
+            servers: The servers.
+            settings: Settings of their group.
+            queue_deadline_s: Until when the request may wait for a server, on
+                the loop's clock, in seconds.
+            now_s: Time on that clock, in seconds.
+            all_leaving: Reason to state if all servers are leaving.
+        """
+
+        def select(
+            candidates: Sequence[dispatch.ServerState],
+        ) -> list[dispatch.ServerState] | messages.NotPlaced:
+            return availability.select_available(
+                candidates,
+                queue_deadline_s,
+                now_s,
+                self._bounds.drain_s,
+                all_leaving=all_leaving,
+            )
+
+        available = select(
+            [
+                s
+                for s in servers
+                if self._is_within_slow_start_rate(s, settings, now_s)
+            ]
+        )
+        match available:
+            case messages.NotPlaced():
+                refusal = select(servers)
+                match refusal:
+                    case messages.NotPlaced():
+                        return refusal
+                    case _:
+                        return refusals.create(_Reason.COLD)
+            case _:
+                return available
+
     def _is_within_slow_start_rate(
         self,
         state: dispatch.ServerState,
--- a/tests/gateway/dispatch/test_task.py
+++ b/tests/gateway/dispatch/test_task.py
@@ -276,6 +276,46 @@
             assert refusal.reason is messages.RefusalReason.PAUSED
             assert 4.0 < refusal.retry_after_s <= 5.0
 
+    @pytest.mark.parametrize("key", [None, 7])
+    async def test_request_waits_for_a_cold_server_in_a_pause(self, key):
+        """Guards against callers that wait although no server can be in time.
+
+        Slow start allows this VM no request, so both keep it from the server.
+        """
+        others = {
+            f"vm-{n}": models.Vm(f"vm-{n}", "run", "", 1, "a")
+            for n in range(40)
+        }
+        async with DispatcherHarness(
+            models.Bounds(cold_slack=1.0), is_keyed=key is not None
+        ) as harness:
+            harness.inbox.post(messages.VmsChanged(others))
+            placement = await harness.place(key=key)
+            statements = models.ServerStatements(
+                cold_ms=30_000.0, pause=models.Pause(30.0)
+            )
+            harness.finish(placement, messages.AttemptResult.SHED, statements)
+            async with asyncio.timeout(5.0):
+                refusal = await harness.place(key=key, wait_s=20.0)
+            assert refusal.reason is messages.RefusalReason.PAUSED
+            assert 29.0 < refusal.retry_after_s <= 30.0
+
+    async def test_cold_server_is_hidden_by_a_paused_one(self):
+        """Guards against refusals though a cold server takes one soon."""
+        other = models.BackendServer(
+            "t", 1, "g", "127.0.0.1", 2, "a", _SLOTS, False, 30_000.0, 1
+        )
+        async with DispatcherHarness(models.Bounds()) as harness:
+            placement = await harness.place()
+            statements = models.ServerStatements(pause=models.Pause(30.0))
+            harness.finish(placement, messages.AttemptResult.SHED, statements)
+            harness.inbox.post(
+                messages.ServersChanged({"s": harness.server, "t": other})
+            )
+            async with asyncio.timeout(10.0):
+                placements = [await harness.place(wait_s=5.0) for _ in range(3)]
+            assert [p.server for p in placements] == [other] * 3
+
     async def test_shorter_pause_replaces_a_longer_one(self):
         """Guards against a server that isn't used although it is ready."""
         async with DispatcherHarness(models.Bounds()) as harness:
