State the later of a pause and a limit

What callers saw: a refusal with the end of a server's pause as Retry-After, although the limit of the same server allowed no request for longer; or a wait for the end of the pause, and a refusal then.

Cause: check_statements returned the pause without a look at the limit.

Change: it returns what keeps the request away for longer.

--- a/berylweir/gateway/dispatch/decisions.py
+++ b/berylweir/gateway/dispatch/decisions.py
@@ -122,6 +122,8 @@
 ) -> Availability:
     """Returns whether a server's statements keep a request away from it.
 
+    If several do, it is the one that does so for the longest time.
+
     Args:
         state: The server.
         deadline_s: Until when the request can wait for a permit, on the loop's
@@ -135,9 +137,14 @@
         and now_s >= state.leaving_since_s + leaving_use_s
     ):
         return Leaving()
-    if state.paused_until_s > now_s:
+    is_limit_reached = (
+        state.limit is not None and state.permit_available_s > deadline_s
+    )
+    if state.paused_until_s > now_s and not (
+        is_limit_reached and state.permit_available_s > state.paused_until_s
+    ):
         return Paused(state.paused_until_s)
-    if state.limit is not None and state.permit_available_s > deadline_s:
+    if is_limit_reached:
         return LimitReached(state.permit_available_s)
     return Available()
 
--- a/tests/gateway/dispatch/test_task.py
+++ b/tests/gateway/dispatch/test_task.py
@@ -316,6 +316,26 @@
                 placements = [await harness.place(wait_s=5.0) for _ in range(3)]
             assert [p.server for p in placements] == [other] * 3
 
+    async def test_refusal_names_the_pause_and_not_the_later_limit(self):
+        """Guards against callers that come back and are refused again."""
+        async with DispatcherHarness(models.Bounds()) as harness:
+            limited = models.ServerStatements(
+                rate_limit=models.RateLimited(0.1)
+            )
+            harness.finish(await harness.place(), statements=limited)
+            placements = [await harness.place() for _ in range(2)]
+            now_s = asyncio.get_running_loop().time()
+            harness.inbox.post(
+                messages.PlacementReturned(
+                    placements[0], harness.requirements(), now_s + 30.0
+                )
+            )
+            paused = models.ServerStatements(pause=models.Pause(5.0))
+            harness.finish(placements[1], messages.AttemptResult.SHED, paused)
+            refusal = await harness.place(wait_s=1.0)
+            assert refusal.reason is messages.RefusalReason.LIMITED
+            assert 29.0 < refusal.retry_after_s <= 30.0
+
     async def test_shorter_pause_replaces_a_longer_one(self):
         """Guards against a server that isn't used although it is ready."""
         async with DispatcherHarness(models.Bounds()) as harness:
