Keep the pause that a server asks for from callers

What callers saw: a 503 of a server that may have run the request came with the server's own Retry-After, so they waited for a time that the server had asked of this VM, although other servers and VMs could serve them.

Cause: Retry-After wasn't among the headers that end at the gateway.

Change: the head of a server's 503 is decoded without it. With other statuses it is passed on, and a refusal by the gateway keeps its own.

Measured: pytest tests/gateway/test_server_statements.py -k passed_on: [503] failed before, passes; tests/platform, tests/gateway/forwarding: no failure.

--- a/berylweir/gateway/exchange/attempt.py
+++ b/berylweir/gateway/exchange/attempt.py
@@ -192,7 +192,9 @@
         ):
             # It may be an earlier response that the server sent once more.
             return outcomes.Unknown(), messages.AttemptResult.BROKEN
-        head = requests.decode_response(raw_head.status, raw_head.headers)
+        head = requests.decode_server_response(
+            raw_head.status, raw_head.headers
+        )
         self._response_head = head
         self._statements = head.statements
         if head.reports_not_run:
--- a/berylweir/platform/requests.py
+++ b/berylweir/platform/requests.py
@@ -279,6 +279,26 @@
     )
 
 
+def decode_server_response(
+    status: int, headers: Iterable[Header]
+) -> ResponseHead:
+    """Decodes the head of a response that the server sent to this VM.
+
+    The time after a rejection is a pause that the server asks this VM for, so
+    it isn't forwarded to the caller.
+
+    Args:
+        status: HTTP status.
+        headers: Headers with names in lower case.
+    """
+    head = decode_response(status, headers)
+    if status != 503:
+        return head
+    return dataclasses.replace(
+        head, headers=tuple(h for h in head.headers if h[0] != _RETRY_AFTER)
+    )
+
+
 def encode_error_headers(
     request_id: str, retry_after_s: float | None
 ) -> tuple[Header, ...]:
--- a/tests/gateway/test_server_statements.py
+++ b/tests/gateway/test_server_statements.py
@@ -2,6 +2,8 @@
 
 import asyncio
 
+import pytest
+
 from berylweir.gateway import models
 from berylweir.standin.gateway_platform import http
 from tests.gateway import rig as rigs
@@ -126,6 +128,27 @@
             assert max(waits_s) <= 2.0
             assert waits_s == sorted(waits_s, reverse=True)
 
+    @pytest.mark.parametrize("status", [200, 503])
+    async def test_pause_is_passed_on_to_the_caller(self, status):
+        """Guards against callers that wait for what only the VM must."""
+        async with rigs.Rig() as rig:
+            await rig.configure(
+                {"g": False}, [rigs.route("r", "g", kind="unsafe")]
+            )
+            server = await rig.add_server("s1", "g")
+            headers = {
+                "Request-Id": "a",
+                "Response-Seal": "x",
+                "Retry-After": "30",
+            }
+            server.next_responses = [http.Response(status, headers, b"why")]
+            gateway = await rig.add_gateway()
+            reply = await gateway.ask("/r/x", "a", method="POST", body=b"x")
+            assert (reply.status, reply.body) == (status, b"why")
+            # With another status it isn't meant for the VM.
+            expected = None if status == 503 else "30"
+            assert reply.headers.get("retry-after") == expected
+
 
 class TestPlacedRequests:
     """Requests that wait for a connection when their server says something."""
