Bound the wait for the confirmation of a placement

What callers would see: a request without an answer if the dispatcher fails on the message that asks for the confirmation.

Cause: the attempt waited for the reply without a bound.

Change: it waits until the deadline of the request, and the request counts as not sent then.

Measured: pytest tests/gateway/dispatch -k outlasts: 1 failed before (no outcome within 10 s), 1 passes; tests/gateway/dispatch: no failure.

--- a/berylweir/gateway/exchange/attempt.py
+++ b/berylweir/gateway/exchange/attempt.py
@@ -149,7 +149,7 @@
             return outcomes.Unknown(), attempt_result
 
     async def _is_confirmed(self) -> bool:
-        """Returns whether the server still takes the request.
+        """Returns whether the server still takes the request, by its deadline.
 
         It may have said or shown something else while the request waited for
         a permit or a connection.
@@ -163,7 +163,11 @@
                 self._placement, self._requirements, reply
             )
         )
-        return await reply
+        try:
+            async with asyncio.timeout_at(self._requirements.deadline_s):
+                return await reply
+        except TimeoutError:
+            return False
 
     def _return_placement(self) -> None:
         """Returns the placement in place of a report on the attempt."""
--- a/tests/gateway/dispatch/test_task.py
+++ b/tests/gateway/dispatch/test_task.py
@@ -4,15 +4,20 @@
 import contextlib
 import dataclasses
 import socket
+from unittest import mock
 
 import pytest
 
 from berylweir.gateway import messages
 from berylweir.gateway import models
+from berylweir.gateway.body_memory import budget
 from berylweir.gateway.dispatch import connection_pool
 from berylweir.gateway.dispatch import decisions
 from berylweir.gateway.dispatch import probes
 from berylweir.gateway.dispatch import task
+from berylweir.gateway.exchange import attempt
+from berylweir.gateway.exchange import models as exchange
+from berylweir.gateway.exchange import outcomes
 from berylweir.gateway.ownership import tables
 from berylweir.observability import counters
 from berylweir.router.backends import connection as http
@@ -402,6 +407,30 @@
             harness.inbox.post(change)
             assert not await self.is_confirmed(harness, placement)
 
+    async def test_request_outlasts_its_deadline_without_a_reply(self):
+        """Guards against callers that wait for a dispatcher that has failed."""
+        inbox = task.create_inbox()
+        requirements = DispatcherHarness(models.Bounds()).requirements(
+            left_s=0.2
+        )
+        server = models.BackendServer(
+            "s", 1, "g", "127.0.0.1", 1, "a", _SLOTS, False, 0.0, 1
+        )
+        connection = mock.create_autospec(http.Connection)
+        placed_s = asyncio.get_running_loop().time() - 1.0
+        sending = attempt.Attempt(
+            inbox,
+            requirements,
+            messages.Placement(server, connection, placed_s, 0.0),
+            budget.BodyMemory(1, counters.Counters()),
+        )
+        async with asyncio.timeout(10.0):
+            outcome = await sending.run(
+                mock.create_autospec(exchange.CallerRequest)
+            )
+        assert outcome == outcomes.Withdrawn()
+        assert not connection.begin.called
+
     async def test_request_with_a_permit_is_withdrawn(self):
         """Guards against requests to a limited server that are never sent."""
         async with DispatcherHarness(models.Bounds(), is_keyed=True) as harness:
