Count pauses that are too long to be kept

What operators saw: nothing, when a server asked for an absurdly long time without requests; the pause was cut to 60 s in silence.

Cause: the decoded pause didn't tell that it had been shortened.

Change: PauseShortened keeps the value as received. It is counted and logged like the other odd pauses, once a minute and server, and 60 s are kept.

Tests: test_pause_comes_with_a_rejection compared 1e9 with Pause(60.0); it now compares with the new type, and 60 with Pause(60.0).

Measured: that test failed before, passes; pytest tests/gateway/dispatch tests/platform tests/docs: no failure.

--- a/berylweir/gateway/dispatch/models.py
+++ b/berylweir/gateway/dispatch/models.py
@@ -253,7 +253,7 @@
         if statements.is_leaving and self.leaving_since_s is None:
             self.leaving_since_s = now_s
         match statements.pause:
-            case models.Pause(duration_s):
+            case models.Pause(duration_s) | models.PauseShortened(duration_s):
                 self.paused_until_s = now_s + duration_s
             case models.PauseInvalid() | None:
                 pass
--- a/berylweir/gateway/dispatch/statement_log.py
+++ b/berylweir/gateway/dispatch/statement_log.py
@@ -123,25 +123,34 @@
         instance = state.server.instance
         match statement:
             case models.Pause(duration_s):
-                self._metrics.count("gateway.server_pauses")
-                was_paused = (
-                    self._paused_until_s.get(instance, float("-inf")) > now_s
-                )
-                self._paused_until_s[instance] = state.paused_until_s
-                if not was_paused:
-                    _LOGGER.info(
-                        "server paused",
-                        extra={
-                            "server": instance.server,
-                            "duration_s": duration_s,
-                        },
-                    )
+                self._record_kept_pause(state, duration_s, now_s)
+            case models.PauseShortened(duration_s, value):
+                self._record_invalid_pause(instance, value, now_s)
+                self._record_kept_pause(state, duration_s, now_s)
             case models.PauseInvalid(value):
-                self._metrics.count("gateway.server_pauses_invalid")
-                self._log_invalid(instance, "pause", value, now_s)
+                self._record_invalid_pause(instance, value, now_s)
             case _:
                 typing.assert_never(statement)
 
+    def _record_kept_pause(
+        self, state: dispatch.ServerState, duration_s: float, now_s: float
+    ) -> None:
+        instance = state.server.instance
+        self._metrics.count("gateway.server_pauses")
+        was_paused = self._paused_until_s.get(instance, float("-inf")) > now_s
+        self._paused_until_s[instance] = state.paused_until_s
+        if not was_paused:
+            _LOGGER.info(
+                "server paused",
+                extra={"server": instance.server, "duration_s": duration_s},
+            )
+
+    def _record_invalid_pause(
+        self, instance: models.ServerInstance, value: str, now_s: float
+    ) -> None:
+        self._metrics.count("gateway.server_pauses_invalid")
+        self._log_invalid(instance, "pause", value, now_s)
+
     def _log_invalid(
         self,
         instance: models.ServerInstance,
--- a/berylweir/gateway/models.py
+++ b/berylweir/gateway/models.py
@@ -397,7 +397,20 @@
     value: str
 
 
-PauseStatement = Pause | PauseInvalid
+@dataclasses.dataclass(frozen=True, slots=True)
+class PauseShortened:
+    """A server states a pause that is longer than any that is kept.
+
+    Attributes:
+        duration_s: The time that is kept, in seconds.
+        value: The value as received, shortened.
+    """
+
+    duration_s: float
+    value: str
+
+
+PauseStatement = Pause | PauseInvalid | PauseShortened
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/berylweir/platform/requests.py
+++ b/berylweir/platform/requests.py
@@ -364,7 +364,9 @@
     duration_s = _parse_number(value)
     if duration_s is None or duration_s < 0:
         return models.PauseInvalid(value[:40].decode("latin-1"))
-    return models.Pause(min(duration_s, _MAX_PAUSE_S))
+    if duration_s > _MAX_PAUSE_S:
+        return models.PauseShortened(_MAX_PAUSE_S, value[:40].decode("latin-1"))
+    return models.Pause(duration_s)
 
 
 def _decode_keep_alive_timeout(value: bytes | None) -> float | None:
--- a/tests/gateway/dispatch/test_task.py
+++ b/tests/gateway/dispatch/test_task.py
@@ -33,6 +33,7 @@
         self, bounds: models.Bounds, *, is_keyed: bool = False
     ) -> None:
         self.inbox = task.create_inbox()
+        self.metrics = counters.Counters()
         self.prober_inbox = probes.create_inbox()
         self.server = models.BackendServer(
             "s", 1, "g", "127.0.0.1", 1, "a", _SLOTS, False, 0.0, 1
@@ -45,7 +46,7 @@
             ),
             self.inbox,
             self.prober_inbox,
-            counters.Counters(),
+            self.metrics,
         )
 
     async def __aenter__(self) -> "DispatcherHarness":
@@ -341,6 +342,25 @@
             assert refusal.reason is messages.RefusalReason.LIMITED
             assert 29.0 < refusal.retry_after_s <= 30.0
 
+    async def test_absurd_pause_is_shortened_in_silence(self, caplog):
+        """Guards against servers whose odd statements nobody notices."""
+        async with DispatcherHarness(models.Bounds()) as harness:
+            statements = models.ServerStatements(
+                pause=models.PauseShortened(60.0, "1e9")
+            )
+            placements = [await harness.place() for _ in range(3)]
+            for placement in placements:
+                harness.finish(
+                    placement, messages.AttemptResult.SHED, statements
+                )
+            refusal = await harness.place()
+            assert refusal.reason is messages.RefusalReason.PAUSED
+            assert 59.0 < refusal.retry_after_s <= 60.0
+            counts = harness.metrics.counts
+            assert counts["gateway.server_pauses_invalid"] == 3
+            lines = [r for r in caplog.records if "invalid" in r.message]
+            assert [r.value for r in lines] == ["1e9"]
+
     async def test_shorter_pause_replaces_a_longer_one(self):
         """Guards against a server that isn't used although it is ready."""
         async with DispatcherHarness(models.Bounds()) as harness:
--- a/tests/platform/test_messages.py
+++ b/tests/platform/test_messages.py
@@ -199,7 +199,8 @@
 
         assert pause(b"1.5") == models.Pause(1.5)
         assert pause(b"0") == models.Pause(0.0)
-        assert pause(b"1e9") == models.Pause(60.0)
+        assert pause(b"60") == models.Pause(60.0)
+        assert pause(b"1e9") == models.PauseShortened(60.0, "1e9")
         assert pause(b"2", status=200) is None
         assert self.decode(status=503).pause is None
         for value in (b"-1", b"nan", b"", b"Wed, 21 Oct 2026 07:28:00 GMT"):
