Ignore warm-up times that no server can mean

What callers saw: after one response with an absurd Warmup-Ms, a server got no more than the rate of a cold one for as long as it ran.

Cause: the entry in the store bounds this time, the header in a response didn't.

Change: the header is decoded with the bound of the entry, one hour; other values are ignored.

--- a/berylweir/platform/objects.py
+++ b/berylweir/platform/objects.py
@@ -36,7 +36,7 @@
 # Highest number of slots of a server that is taken for possible.
 _MAX_SLOTS = 100_000
 # Longest warm-up time of a server that is taken for possible, in ms.
-_MAX_COLD_MS = 3_600_000.0
+MAX_COLD_MS = 3_600_000.0
 
 
 class _SplitPart(msgspec.Struct):
@@ -97,7 +97,7 @@
 class _ServerStatus(msgspec.Struct, rename="camel"):
     # Either `ready` or `draining`.
     state: str
-    warmup_left_ms: Annotated[float, msgspec.Meta(le=_MAX_COLD_MS)] = 0.0
+    warmup_left_ms: Annotated[float, msgspec.Meta(le=MAX_COLD_MS)] = 0.0
 
 
 class _ServerEntry(msgspec.Struct):
--- a/berylweir/platform/requests.py
+++ b/berylweir/platform/requests.py
@@ -7,6 +7,7 @@
 
 from berylweir import records
 from berylweir.gateway import models
+from berylweir.platform import objects
 
 Header = tuple[bytes, bytes]
 
@@ -260,9 +261,7 @@
         encoding not in (b"", b"identity"),
         models.ServerStatements(
             _decode_load(values_by_name.get(_SERVER_LOAD)),
-            _parse_number(values_by_name[_WARMUP])
-            if _WARMUP in values_by_name
-            else None,
+            _decode_cold_ms(values_by_name.get(_WARMUP)),
             _decode_rate_limit(
                 status,
                 values_by_name.get(_SERVER_LIMIT),
@@ -334,6 +333,14 @@
     return models.Load(running, waiting, slots, (percent or 100.0) / 100.0)
 
 
+def _decode_cold_ms(value: bytes | None) -> float | None:
+    """Decodes the time for which a server stays cold, in ms."""
+    cold_ms = None if value is None else _parse_number(value)
+    if cold_ms is None or not 0 <= cold_ms <= objects.MAX_COLD_MS:
+        return None
+    return cold_ms
+
+
 def _decode_rate_limit(
     status: int, value: bytes | None, *, is_signed: bool
 ) -> models.RateLimitStatement:
--- a/tests/platform/test_messages.py
+++ b/tests/platform/test_messages.py
@@ -191,6 +191,11 @@
         assert not self.decode((b"server-leaving", b"0")).is_leaving
         assert not self.decode().is_leaving
 
+    @pytest.mark.parametrize("value", [b"nan", b"-5", b"1e300", b"soon"])
+    def test_odd_warm_up_is_not_taken(self, value):
+        """Guards against a server that stays cold forever."""
+        assert self.decode((b"warmup-ms", value)).cold_ms is None
+
     def test_pause_comes_with_a_rejection(self):
         """Guards against a pause from a date, a caller's header or `nan`."""
 
