Return a failure for gateways whose address can't be dialled

What operators would see: any task that asks another gateway (lease, permits, replication, quarantine) ends with AddressInvalid, if one object of a VM states an address of a kind that this build doesn't know, such as IPv6.

Cause: PeerClient.ask caught the failures of sending and receiving, but not that of the address.

Change: it returns PeerUnresponsive, counted by peers.silent.

Measured: pytest tests/upgrades -k another_kind: 3 failed before, 3 pass; tests/upgrades, tests/gateway/test_peers.py: no failure.

--- a/berylweir/gateway/peers/task.py
+++ b/berylweir/gateway/peers/task.py
@@ -187,7 +187,11 @@
         if (vm.incarnation, message) in self._unsupported:
             return result.Err(exceptions.MessageUnsupported(vm.name, message))
         address = (vm.host, vm.port)
-        socket = self._get_socket(address)
+        try:
+            socket = self._get_socket(address)
+        except pynng.AddressInvalid as error:
+            self._metrics.count("peers.silent")
+            return result.Err(exceptions.PeerUnresponsive(vm.name, repr(error)))
         self._pending_requests[socket] += 1
         # With an nng context per request, several requests can wait for their
         # replies on one socket.
@@ -240,7 +244,11 @@
                 reconnect_time_min=50,
                 reconnect_time_max=_RECONNECT_MAX_MS,
             )
-            socket.dial(f"tcp://{address[0]}:{address[1]}", block=False)
+            try:
+                socket.dial(f"tcp://{address[0]}:{address[1]}", block=False)
+            except pynng.AddressInvalid:
+                socket.close()
+                raise
             self._sockets[address] = socket
         return socket
 
--- a/tests/upgrades/test_contract.py
+++ b/tests/upgrades/test_contract.py
@@ -105,6 +105,25 @@
         assert isinstance(table.ok_value, models.KeyTable)
 
 
+class TestNewerBuilds:
+    """Objects that only a far newer build, or another writer, has written."""
+
+    @pytest.mark.parametrize("host", ["::1", "", "a\0b"])
+    async def test_address_of_another_kind_ends_the_caller(self, host):
+        """Guards against gateways that fail on the object of one VM."""
+        metrics = counters.Counters()
+        client = peers.PeerClient(metrics)
+        vm = models.Vm("v", "run", host, 80, "a")
+        for _ in range(2):
+            match await client.ask(vm, messages.GetStatus()):
+                case result.Err(exceptions.PeerUnresponsive()):
+                    pass
+                case other:
+                    raise AssertionError(other)
+        assert metrics.counts["peers.silent"] == 2
+        client.close()
+
+
 class TestContract:
     """The page that says what builds may expect."""
 
