--- a/berylweir/gateway/dispatch/placement.py
+++ b/berylweir/gateway/dispatch/placement.py
@@ -1,6 +1,7 @@
 """Chooses the server of a request, or another gateway that gets it."""
 
 from collections.abc import Collection
+from collections.abc import Sequence
 import random
 
 from berylweir.gateway import messages
@@ -89,6 +90,39 @@
             )
         return self._try_place_on_any_server(place_request, group, now_s)
 
+    def is_still_allowed(
+        self,
+        placement: messages.Placement,
+        requirements: messages.ServerRequirements,
+        now_s: float,
+    ) -> bool:
+        """Returns whether a request that was placed before may be sent.
+
+        Args:
+            placement: Its server.
+            requirements: What the request needs.
+            now_s: Time on the loop's clock, in seconds.
+        """
+        instance = placement.server.instance
+        state = self._deployment.servers.get(instance)
+        if state is None or not self._deployment.is_eligible(state):
+            return False
+        group = self._deployment.groups.get(requirements.group)
+        if (
+            group is not None
+            and group.settings.is_keyed
+            and requirements.key is not None
+            and group.table is not None
+            and decisions.find_owner(group.table, requirements.key) != instance
+        ):
+            return False
+        return availability.is_still_available(
+            state,
+            now_s,
+            self._bounds.drain_s,
+            has_permit=placement.limit is not None,
+        )
+
     def _try_place_on_owner(
         self,
         place_request: messages.PlaceRequest,
@@ -119,13 +153,11 @@
                 messages.OwnerUnreachable(state.server.instance),
                 now_s,
             )
-        if not self._is_within_slow_start_rate(state, group.settings, now_s):
-            return refusals.create(_Reason.COLD)
-        available = availability.select_available(
+        available = self._select_available(
             [state],
+            group.settings,
             place_request.requirements.queue_deadline_s,
             now_s,
-            self._bounds.drain_s,
             all_leaving=_Reason.NO_OWNER,
         )
         if isinstance(available, messages.NotPlaced):
@@ -150,18 +182,11 @@
         eligible = [s for s in sampled if self._deployment.is_eligible(s)]
         if not eligible:
             return refusals.create(_Reason.NO_SERVER)
-        within_rate = [
-            s
-            for s in eligible
-            if self._is_within_slow_start_rate(s, group.settings, now_s)
-        ]
-        if not within_rate:
-            return refusals.create(_Reason.COLD)
-        available = availability.select_available(
-            within_rate,
+        available = self._select_available(
+            eligible,
+            group.settings,
             requirements.queue_deadline_s,
             now_s,
-            self._bounds.drain_s,
             all_leaving=_Reason.NO_SERVER,
         )
         if isinstance(available, messages.NotPlaced):
@@ -231,6 +256,58 @@
             state
         ) and self._connectivity.allows_connection(state.server)
 
+    def _select_available(
+        self,
+        servers: Sequence[dispatch.ServerState],
+        settings: models.ServerGroup,
+        queue_deadline_s: float,
+        now_s: float,
+        *,
+        all_leaving: messages.RefusalReason,
+    ) -> list[dispatch.ServerState] | messages.NotPlaced:
+        """Returns the servers that slow start and their statements allow.
+
+        If there are none, a server that only slow start keeps from the request
+        goes before the others in the refusal: it may take one soon.
+
+        Args:
+            servers: The servers.
+            settings: Settings of their group.
+            queue_deadline_s: Until when the request may wait for a server, on
+                the loop's clock, in seconds.
+            now_s: Time on that clock, in seconds.
+            all_leaving: Reason to state if all servers are leaving.
+        """
+
+        def select(
+            candidates: Sequence[dispatch.ServerState],
+        ) -> list[dispatch.ServerState] | messages.NotPlaced:
+            return availability.select_available(
+                candidates,
+                queue_deadline_s,
+                now_s,
+                self._bounds.drain_s,
+                all_leaving=all_leaving,
+            )
+
+        available = select(
+            [
+                s
+                for s in servers
+                if self._is_within_slow_start_rate(s, settings, now_s)
+            ]
+        )
+        match available:
+            case messages.NotPlaced():
+                refusal = select(servers)
+                match refusal:
+                    case messages.NotPlaced():
+                        return refusal
+                    case _:
+                        return refusals.create(_Reason.COLD)
+            case _:
+                return available
+
     def _is_within_slow_start_rate(
         self,
         state: dispatch.ServerState,
--- a/berylweir/gateway/dispatch/task.py
+++ b/berylweir/gateway/dispatch/task.py
@@ -33,6 +33,10 @@
 
 Inbox = mailbox.Mailbox[messages.DispatcherMessage]
 _Reason = messages.RefusalReason
+# Results of attempts whose request wasn't sent.
+_UNSENT_RESULTS = frozenset(
+    {messages.AttemptResult.UNREACHABLE, messages.AttemptResult.STALE}
+)
 
 
 def create_inbox() -> Inbox:
@@ -126,12 +130,21 @@
         match message:
             case messages.PlaceRequest():
                 self._place_or_queue(message)
+            case messages.ConfirmPlacement(placement, requirements, reply):
+                if not reply.done():
+                    reply.set_result(
+                        self._placer.is_still_allowed(
+                            placement, requirements, self._now_s()
+                        )
+                    )
             case messages.PlacementReturned():
                 self._take_back(message)
             case messages.AttemptFinished():
                 self._finish_attempt(message)
             case messages.ForwardFinished():
                 self._finish_forward(message)
+            case messages.StatementsReceived(server, statements):
+                self._receive_statements(server, statements)
             case messages.ResponseOverdue(placement):
                 state = self._deployment.servers.get(placement.server.instance)
                 if state is not None:
@@ -267,10 +280,8 @@
         now_s = self._now_s()
         placement = returned.placement
         requirements = returned.requirements
-        group = self._deployment.groups.get(requirements.group)
         self._suspects.end(requirements)
-        if group is not None and requirements.is_retry:
-            group.budget.refund()
+        self._refund_retry(requirements)
         state = self._deployment.servers.get(placement.server.instance)
         if state is None:
             if placement.connection is not None:
@@ -282,11 +293,18 @@
         if placement.connection is not None:
             self._release_connection(state, placement.connection, None, now_s)
 
+    def _refund_retry(self, requirements: messages.ServerRequirements) -> None:
+        group = self._deployment.groups.get(requirements.group)
+        if group is not None and requirements.is_retry:
+            group.budget.refund()
+
     def _finish_attempt(self, finished: messages.AttemptFinished) -> None:
         now_s = self._now_s()
         state = self._deployment.servers.get(finished.placement.server.instance)
         connection = finished.connection
         self._suspects.finish(finished, state, now_s)
+        if finished.attempt_result in _UNSENT_RESULTS:
+            self._refund_retry(finished.requirements)
         if state is None:
             if connection is not None:
                 connection.close()
@@ -302,11 +320,21 @@
     def _finish_forward(self, finished: messages.ForwardFinished) -> None:
         now_s = self._now_s()
         self._forwarding.finish(finished, now_s)
-        if finished.leaving_server is None:
-            return
-        state = self._deployment.servers.get(finished.leaving_server)
+        if finished.leaving_server is not None:
+            self._receive_statements(
+                finished.leaving_server,
+                models.ServerStatements(is_leaving=True),
+            )
+
+    def _receive_statements(
+        self,
+        server: models.ServerInstance,
+        statements: models.ServerStatements,
+    ) -> None:
+        """Applies statements that don't come with the end of an attempt."""
+        state = self._deployment.servers.get(server)
         if state is not None:
-            statements = models.ServerStatements(is_leaving=True)
+            now_s = self._now_s()
             state.apply_statements(statements, now_s)
             self._record_statements(state, statements, now_s)
 
--- a/berylweir/gateway/exchange/attempt.py
+++ b/berylweir/gateway/exchange/attempt.py
@@ -21,6 +21,9 @@
 # this many bytes and for this time in seconds. Rejections are short.
 _MAX_REJECTION_BYTES = 65_536
 _REJECTION_TIMEOUT_S = 0.2
+# Age of a placement up to which it isn't confirmed before the request is sent,
+# in seconds. It is short beside the times that the platform allows.
+_MAX_UNCONFIRMED_S = 0.05
 _RESULTS_OF_STREAMS = {
     responses.StreamEnd.COMPLETE: messages.AttemptResult.SERVED,
     responses.StreamEnd.BROKEN: messages.AttemptResult.BROKEN,
@@ -59,6 +62,7 @@
         self._is_finished = False
         self._result = messages.AttemptResult.ABANDONED
         self._response_head: requests.ResponseHead | None = None
+        self._statements = models.ServerStatements()
         self._loop = asyncio.get_running_loop()
 
     @property
@@ -102,6 +106,9 @@
                 )
             except (OSError, TimeoutError):
                 return outcomes.NotSent(), messages.AttemptResult.UNREACHABLE
+        if not await self._is_confirmed():
+            self._return_placement()
+            return outcomes.Withdrawn(), messages.AttemptResult.STALE
         connection = self._connection
         remaining_s = requirements.deadline_s - self._loop.time()
         try:
@@ -141,6 +148,40 @@
             )
             return outcomes.Unknown(), attempt_result
 
+    async def _is_confirmed(self) -> bool:
+        """Returns whether the server still takes the request, by its deadline.
+
+        It may have said or shown something else while the request waited for
+        a permit or a connection.
+        """
+        waited_s = self._loop.time() - self._placement.placed_s
+        if waited_s < _MAX_UNCONFIRMED_S:
+            return True
+        reply: asyncio.Future[bool] = self._loop.create_future()
+        self._inbox.post(
+            messages.ConfirmPlacement(
+                self._placement, self._requirements, reply
+            )
+        )
+        try:
+            async with asyncio.timeout_at(self._requirements.deadline_s):
+                return await reply
+        except TimeoutError:
+            return False
+
+    def _return_placement(self) -> None:
+        """Returns the placement in place of a report on the attempt."""
+        self._is_finished = True
+        self._inbox.post(
+            messages.PlacementReturned(
+                dataclasses.replace(
+                    self._placement, connection=self._connection
+                ),
+                self._requirements,
+                None,
+            )
+        )
+
     async def _read_response(
         self,
         request: exchange.CallerRequest,
@@ -155,8 +196,11 @@
         ):
             # It may be an earlier response that the server sent once more.
             return outcomes.Unknown(), messages.AttemptResult.BROKEN
-        head = requests.decode_response(raw_head.status, raw_head.headers)
+        head = requests.decode_server_response(
+            raw_head.status, raw_head.headers
+        )
         self._response_head = head
+        self._statements = head.statements
         if head.reports_not_run:
             await _skip_body(connection)
             attempt_result = (
@@ -178,6 +222,7 @@
                 stack.enter_context(self._memory.open(source)),
             )
             if answer.remaining_body is not None:
+                self._report_statements()
                 # The stream itself doesn't end if it was never begun.
                 stack.callback(
                     self._finish_stream, responses.StreamEnd.ABANDONED
@@ -191,6 +236,15 @@
             return outcomes.ServerFailed(answer), messages.AttemptResult.FAILED
         return outcomes.Answered(answer), messages.AttemptResult.SERVED
 
+    def _report_statements(self) -> None:
+        """Reports them at once; the end of a stream may be far away."""
+        self._inbox.post(
+            messages.StatementsReceived(
+                self._placement.server.instance, self._statements
+            )
+        )
+        self._statements = models.ServerStatements()
+
     def _finish_stream(self, end: responses.StreamEnd) -> None:
         self._report_result(_RESULTS_OF_STREAMS[end])
 
@@ -233,7 +287,7 @@
                 self._requirements,
                 attempt_result,
                 connection,
-                head.statements if head else models.ServerStatements(),
+                self._statements,
                 head.keep_alive_timeout_s if head else None,
                 self._loop.time() - self._placement.placed_s,
             )
--- a/berylweir/platform/requests.py
+++ b/berylweir/platform/requests.py
@@ -7,6 +7,7 @@
 
 from berylweir import records
 from berylweir.gateway import models
+from berylweir.platform import objects
 
 Header = tuple[bytes, bytes]
 
@@ -260,9 +261,7 @@
         encoding not in (b"", b"identity"),
         models.ServerStatements(
             _decode_load(values_by_name.get(_SERVER_LOAD)),
-            _parse_number(values_by_name[_WARMUP])
-            if _WARMUP in values_by_name
-            else None,
+            _decode_cold_ms(values_by_name.get(_WARMUP)),
             _decode_rate_limit(
                 status,
                 values_by_name.get(_SERVER_LIMIT),
@@ -279,6 +278,26 @@
     )
 
 
+def decode_server_response(
+    status: int, headers: Iterable[Header]
+) -> ResponseHead:
+    """Decodes the head of a response that the server sent to this VM.
+
+    The time after a rejection is a pause that the server asks this VM for, so
+    it isn't forwarded to the caller.
+
+    Args:
+        status: HTTP status.
+        headers: Headers with names in lower case.
+    """
+    head = decode_response(status, headers)
+    if status != 503:
+        return head
+    return dataclasses.replace(
+        head, headers=tuple(h for h in head.headers if h[0] != _RETRY_AFTER)
+    )
+
+
 def encode_error_headers(
     request_id: str, retry_after_s: float | None
 ) -> tuple[Header, ...]:
@@ -314,6 +333,14 @@
     return models.Load(running, waiting, slots, (percent or 100.0) / 100.0)
 
 
+def _decode_cold_ms(value: bytes | None) -> float | None:
+    """Decodes the time for which a server stays cold, in ms."""
+    cold_ms = None if value is None else _parse_number(value)
+    if cold_ms is None or not 0 <= cold_ms <= objects.MAX_COLD_MS:
+        return None
+    return cold_ms
+
+
 def _decode_rate_limit(
     status: int, value: bytes | None, *, is_signed: bool
 ) -> models.RateLimitStatement:
@@ -344,7 +371,9 @@
     duration_s = _parse_number(value)
     if duration_s is None or duration_s < 0:
         return models.PauseInvalid(value[:40].decode("latin-1"))
-    return models.Pause(min(duration_s, _MAX_PAUSE_S))
+    if duration_s > _MAX_PAUSE_S:
+        return models.PauseShortened(_MAX_PAUSE_S, value[:40].decode("latin-1"))
+    return models.Pause(duration_s)
 
 
 def _decode_keep_alive_timeout(value: bytes | None) -> float | None:
--- a/tests/gateway/dispatch/test_task.py
+++ b/tests/gateway/dispatch/test_task.py
@@ -4,15 +4,20 @@
 import contextlib
 import dataclasses
 import socket
+from unittest import mock
 
 import pytest
 
 from berylweir.gateway import messages
 from berylweir.gateway import models
+from berylweir.gateway.body_memory import budget
 from berylweir.gateway.dispatch import connection_pool
 from berylweir.gateway.dispatch import decisions
 from berylweir.gateway.dispatch import probes
 from berylweir.gateway.dispatch import task
+from berylweir.gateway.exchange import attempt
+from berylweir.gateway.exchange import models as exchange
+from berylweir.gateway.exchange import outcomes
 from berylweir.gateway.ownership import tables
 from berylweir.observability import counters
 from berylweir.router.backends import connection as http
@@ -28,6 +33,7 @@
         self, bounds: models.Bounds, *, is_keyed: bool = False
     ) -> None:
         self.inbox = task.create_inbox()
+        self.metrics = counters.Counters()
         self.prober_inbox = probes.create_inbox()
         self.server = models.BackendServer(
             "s", 1, "g", "127.0.0.1", 1, "a", _SLOTS, False, 0.0, 1
@@ -40,7 +46,7 @@
             ),
             self.inbox,
             self.prober_inbox,
-            counters.Counters(),
+            self.metrics,
         )
 
     async def __aenter__(self) -> "DispatcherHarness":
@@ -113,12 +119,14 @@
         attempt_result: messages.AttemptResult = messages.AttemptResult.SERVED,
         statements: models.ServerStatements | None = None,
         connection: http.Connection | None = None,
+        *,
+        is_retry: bool = False,
     ) -> None:
         """Reports the end of an attempt."""
         self.inbox.post(
             messages.AttemptFinished(
                 placement,
-                self.requirements(),
+                self.requirements(is_retry=is_retry),
                 attempt_result,
                 connection,
                 statements or models.ServerStatements(),
@@ -173,6 +181,24 @@
             refusal = await harness.place(is_retry=True)
             assert refusal.reason is messages.RefusalReason.RETRY_BUDGET
 
+    @pytest.mark.parametrize(
+        "attempt_result",
+        [messages.AttemptResult.UNREACHABLE, messages.AttemptResult.STALE],
+    )
+    async def test_unsent_retry_uses_the_retry_budget(self, attempt_result):
+        """Guards against refusals of retries after lost connections."""
+        bounds = models.Bounds(retry_ratio=0.0, retry_slack=1.5)
+        async with DispatcherHarness(bounds) as harness:
+            placement = await harness.place(is_retry=True)
+            harness.finish(placement, attempt_result, is_retry=True)
+            restarted = dataclasses.replace(harness.server, born_ms=2)
+            harness.inbox.post(messages.ServersChanged({"s": restarted}))
+            placement = await harness.place(is_retry=True)
+            assert isinstance(placement, messages.Placement)
+            harness.finish(placement, is_retry=True)
+            refusal = await harness.place(is_retry=True)
+            assert refusal.reason is messages.RefusalReason.RETRY_BUDGET
+
 
 class TestForwarding:
     """Requests for servers that this VM can't reach."""
@@ -256,6 +282,85 @@
             assert refusal.reason is messages.RefusalReason.PAUSED
             assert 4.0 < refusal.retry_after_s <= 5.0
 
+    @pytest.mark.parametrize("key", [None, 7])
+    async def test_request_waits_for_a_cold_server_in_a_pause(self, key):
+        """Guards against callers that wait although no server can be in time.
+
+        Slow start allows this VM no request, so both keep it from the server.
+        """
+        others = {
+            f"vm-{n}": models.Vm(f"vm-{n}", "run", "", 1, "a")
+            for n in range(40)
+        }
+        async with DispatcherHarness(
+            models.Bounds(cold_slack=1.0), is_keyed=key is not None
+        ) as harness:
+            harness.inbox.post(messages.VmsChanged(others))
+            placement = await harness.place(key=key)
+            statements = models.ServerStatements(
+                cold_ms=30_000.0, pause=models.Pause(30.0)
+            )
+            harness.finish(placement, messages.AttemptResult.SHED, statements)
+            async with asyncio.timeout(5.0):
+                refusal = await harness.place(key=key, wait_s=20.0)
+            assert refusal.reason is messages.RefusalReason.PAUSED
+            assert 29.0 < refusal.retry_after_s <= 30.0
+
+    async def test_cold_server_is_hidden_by_a_paused_one(self):
+        """Guards against refusals though a cold server takes one soon."""
+        other = models.BackendServer(
+            "t", 1, "g", "127.0.0.1", 2, "a", _SLOTS, False, 30_000.0, 1
+        )
+        async with DispatcherHarness(models.Bounds()) as harness:
+            placement = await harness.place()
+            statements = models.ServerStatements(pause=models.Pause(30.0))
+            harness.finish(placement, messages.AttemptResult.SHED, statements)
+            harness.inbox.post(
+                messages.ServersChanged({"s": harness.server, "t": other})
+            )
+            async with asyncio.timeout(10.0):
+                placements = [await harness.place(wait_s=5.0) for _ in range(3)]
+            assert [p.server for p in placements] == [other] * 3
+
+    async def test_refusal_names_the_pause_and_not_the_later_limit(self):
+        """Guards against callers that come back and are refused again."""
+        async with DispatcherHarness(models.Bounds()) as harness:
+            limited = models.ServerStatements(
+                rate_limit=models.RateLimited(0.1)
+            )
+            harness.finish(await harness.place(), statements=limited)
+            placements = [await harness.place() for _ in range(2)]
+            now_s = asyncio.get_running_loop().time()
+            harness.inbox.post(
+                messages.PlacementReturned(
+                    placements[0], harness.requirements(), now_s + 30.0
+                )
+            )
+            paused = models.ServerStatements(pause=models.Pause(5.0))
+            harness.finish(placements[1], messages.AttemptResult.SHED, paused)
+            refusal = await harness.place(wait_s=1.0)
+            assert refusal.reason is messages.RefusalReason.LIMITED
+            assert 29.0 < refusal.retry_after_s <= 30.0
+
+    async def test_absurd_pause_is_shortened_in_silence(self, caplog):
+        """Guards against servers whose odd statements nobody notices."""
+        async with DispatcherHarness(models.Bounds()) as harness:
+            statements = models.ServerStatements(
+                pause=models.PauseShortened(60.0, "1e9")
+            )
+            placements = [await harness.place() for _ in range(3)]
+            for placement in placements:
+                harness.finish(
+                    placement, messages.AttemptResult.SHED, statements
+                )
+            refusal = await harness.place()
+            assert refusal.reason is messages.RefusalReason.PAUSED
+            assert 59.0 < refusal.retry_after_s <= 60.0
+            counts = harness.metrics.counts
+            assert counts["gateway.server_pauses_invalid"] == 3
+            lines = [r for r in caplog.records if "invalid" in r.message]
+            assert [r.value for r in lines] == ["1e9"]
+
     async def test_shorter_pause_replaces_a_longer_one(self):
         """Guards against a server that isn't used although it is ready."""
         async with DispatcherHarness(models.Bounds()) as harness:
@@ -273,6 +378,90 @@
             )
 
 
+class TestConfirmation:
+    """Requests that waited since their server was chosen."""
+
+    async def is_confirmed(
+        self, harness: DispatcherHarness, placement: messages.Placement
+    ) -> bool:
+        """Returns whether a request may still be sent."""
+        reply = asyncio.get_running_loop().create_future()
+        harness.inbox.post(
+            messages.ConfirmPlacement(
+                placement, harness.requirements(key=7), reply
+            )
+        )
+        return await reply
+
+    @pytest.mark.parametrize(
+        "change",
+        [
+            messages.StatementsReceived(
+                models.ServerInstance("s", 1),
+                models.ServerStatements(is_leaving=True),
+            ),
+            messages.StatementsReceived(
+                models.ServerInstance("s", 1),
+                models.ServerStatements(pause=models.Pause(5.0)),
+            ),
+            messages.StatementsReceived(
+                models.ServerInstance("s", 1),
+                models.ServerStatements(rate_limit=models.RateLimited(9.0)),
+            ),
+            messages.ServersChanged({}),
+            messages.EvacuationsChanged(frozenset("a")),
+            messages.KeyTableChanged(
+                dataclasses.replace(
+                    tables.create("g", [models.ServerInstance("t", 1)], 2),
+                    revision=2,
+                )
+            ),
+        ],
+    )
+    async def test_server_gets_a_request_that_it_no_longer_takes(self, change):
+        """Guards against requests that were placed before a change."""
+        bounds = models.Bounds(drain_s=0.0)
+        async with DispatcherHarness(bounds, is_keyed=True) as harness:
+            placement = await harness.place(key=7)
+            assert await self.is_confirmed(harness, placement)
+            harness.inbox.post(change)
+            assert not await self.is_confirmed(harness, placement)
+
+    async def test_request_outlasts_its_deadline_without_a_reply(self):
+        """Guards against callers that wait for a dispatcher that has failed."""
+        inbox = task.create_inbox()
+        requirements = DispatcherHarness(models.Bounds()).requirements(
+            left_s=0.2
+        )
+        server = models.BackendServer(
+            "s", 1, "g", "127.0.0.1", 1, "a", _SLOTS, False, 0.0, 1
+        )
+        connection = mock.create_autospec(http.Connection)
+        placed_s = asyncio.get_running_loop().time() - 1.0
+        sending = attempt.Attempt(
+            inbox,
+            requirements,
+            messages.Placement(server, connection, placed_s, 0.0),
+            budget.BodyMemory(1, counters.Counters()),
+        )
+        async with asyncio.timeout(10.0):
+            outcome = await sending.run(
+                mock.create_autospec(exchange.CallerRequest)
+            )
+        assert outcome == outcomes.Withdrawn()
+        assert not connection.begin.called
+
+    async def test_request_with_a_permit_is_withdrawn(self):
+        """Guards against requests to a limited server that are never sent."""
+        async with DispatcherHarness(models.Bounds(), is_keyed=True) as harness:
+            limited = models.ServerStatements(
+                rate_limit=models.RateLimited(9.0)
+            )
+            harness.finish(await harness.place(key=7), statements=limited)
+            placement = await harness.place(key=7)
+            assert await self.is_confirmed(harness, placement)
+
+
 class TestProbes:
     """Servers to which no connection can be opened."""
 
--- a/tests/gateway/test_server_statements.py
+++ b/tests/gateway/test_server_statements.py
@@ -2,7 +2,10 @@
 
 import asyncio
 
+import pytest
+
 from berylweir.gateway import models
+from berylweir.standin.gateway_platform import http
 from tests.gateway import rig as rigs
 
 # Time within which each keyed server must have an owner again, and the time
@@ -27,6 +30,36 @@
                 assert "server-leaving" not in reply.headers
             assert len(leaving.executions) == 1
 
+    async def test_leaving_server_is_used_until_its_long_response_ends(self):
+        """Guards against reading the statement at the end of a download."""
+        async with rigs.Rig() as rig:
+            await rig.configure({"g": False}, [rigs.route("r", "g")])
+            leaving = await rig.add_server("s1", "g")
+            headers = {
+                "Request-Id": "a",
+                "Response-Seal": "x",
+                "Server-Leaving": "1",
+            }
+            leaving.next_responses = [
+                http.Response(200, headers, bytes(65_536), repeats_body=True)
+            ]
+            gateway = await rig.add_gateway()
+            caller = await gateway.connect()
+            caller.send("/r/x", "a", deadline_ms=20_000)
+            await caller.reader.readuntil(b"\r\n\r\n")
+            other = await rig.add_server("s2", "g")
+
+            async def is_other_used() -> bool:
+                await gateway.ask("/r/x", "b")
+                return bool(other.executions)
+
+            await rigs.until(is_other_used)
+            executed_before = len(leaving.executions)
+            for number in range(30):
+                assert (await gateway.ask("/r/x", f"c{number}")).status == 200
+            assert len(leaving.executions) == executed_before
+            caller.writer.close()
+
     async def test_keys_of_a_leaving_owner_stay_with_it(self):
         """Guards against requests for keys after the owner's time to drain."""
         async with rigs.Rig() as rig:
@@ -94,3 +127,67 @@
             waits_s = [float(r.headers["retry-after"]) for r in replies[1:]]
             assert max(waits_s) <= 2.0
             assert waits_s == sorted(waits_s, reverse=True)
+
+    @pytest.mark.parametrize("status", [200, 503])
+    async def test_pause_is_passed_on_to_the_caller(self, status):
+        """Guards against callers that wait for what only the VM must."""
+        async with rigs.Rig() as rig:
+            await rig.configure(
+                {"g": False}, [rigs.route("r", "g", kind="unsafe")]
+            )
+            server = await rig.add_server("s1", "g")
+            headers = {
+                "Request-Id": "a",
+                "Response-Seal": "x",
+                "Retry-After": "30",
+            }
+            server.next_responses = [http.Response(status, headers, b"why")]
+            gateway = await rig.add_gateway()
+            reply = await gateway.ask("/r/x", "a", method="POST", body=b"x")
+            assert (reply.status, reply.body) == (status, b"why")
+            # With another status it isn't meant for the VM.
+            expected = None if status == 503 else "30"
+            assert reply.headers.get("retry-after") == expected
+
+
+class TestPlacedRequests:
+    """Requests that wait for a connection when their server says something."""
+
+    def place(
+        self, rig: rigs.Rig, gateway: rigs.Gateway, request_id: str
+    ) -> asyncio.Task[rigs.Reply]:
+        """Starts a request that gets its connection after 0.4 s."""
+        rig.connect_delay_s = 0.4
+        return asyncio.create_task(gateway.ask("/r/x", request_id))
+
+    async def test_request_is_sent_in_a_pause(self):
+        """Guards against requests that were placed before the pause began."""
+        async with rigs.Rig() as rig:
+            await rig.configure(
+                {"g": False},
+                [rigs.route("r", "g", attempts=1, goal_ms=1000)],
+            )
+            server = await rig.add_server("s1", "g", slots=0)
+            server.rejection_pause_s = 2.0
+            gateway = await rig.add_gateway()
+            first = self.place(rig, gateway, "a1")
+            await asyncio.sleep(0.3)
+            assert (await self.place(rig, gateway, "a2")).status == 503
+            assert (await first).status == 503
+            assert [a.request_id for a in server.arrivals] == ["a1"]
+
+    async def test_request_is_sent_beyond_a_limit(self):
+        """Guards against requests without a permit of the new limit."""
+        async with rigs.Rig() as rig:
+            await rig.configure({"g": False}, [rigs.route("r", "g")])
+            server = await rig.add_server("s1", "g", slots=20)
+            server.limit_per_s = 0.0
+            gateway = await rig.add_gateway()
+            first = self.place(rig, gateway, "a")
+            await asyncio.sleep(0.3)
+            replies = await asyncio.gather(
+                *(self.place(rig, gateway, f"b{n}") for n in range(6))
+            )
+            assert (await first).status == 200
+            assert len(server.arrivals) <= 4
+            assert {r.status for r in replies} == {200, 503}
--- a/tests/platform/test_messages.py
+++ b/tests/platform/test_messages.py
@@ -191,6 +191,11 @@
         assert not self.decode((b"server-leaving", b"0")).is_leaving
         assert not self.decode().is_leaving
 
+    @pytest.mark.parametrize("value", [b"nan", b"-5", b"1e300", b"soon"])
+    def test_odd_warm_up_is_not_taken(self, value):
+        """Guards against a server that stays cold forever."""
+        assert self.decode((b"warmup-ms", value)).cold_ms is None
+
     def test_pause_comes_with_a_rejection(self):
         """Guards against a pause from a date, a caller's header or `nan`."""
 
@@ -199,7 +204,8 @@
 
         assert pause(b"1.5") == models.Pause(1.5)
         assert pause(b"0") == models.Pause(0.0)
-        assert pause(b"1e9") == models.Pause(60.0)
+        assert pause(b"60") == models.Pause(60.0)
+        assert pause(b"1e9") == models.PauseShortened(60.0, "1e9")
         assert pause(b"2", status=200) is None
         assert self.decode(status=503).pause is None
         for value in (b"-1", b"nan", b"", b"Wed, 21 Oct 2026 07:28:00 GMT"):
