Have the lease holder say why it moves no keys

Each plan now returns what has held moves of the group, as data classes (holds.py): an owner without its first grant, keys that aren't released, a table that isn't written, an unconfirmed lease, no candidates, a table of a later lease. Each is counted by reason. One that lasts for 5 s is logged once when it begins and once when it ends, together with the age of the oldest unfinished move, the most silent VM, and the utilisation of the busiest server as estimated. A VM whose reports don't arrive is a reason too, as the holder then underestimates the load. Three gauges hold the ages and the estimated imbalance. The wait for authority ends after an interval, so that an unconfirmed lease is reported as well.

balance.plan_moves returns its moves together with the load that it planned for; its tests read the moves from there and are unchanged otherwise.

--- a/berylweir/gateway/ownership/balance.py
+++ b/berylweir/gateway/ownership/balance.py
@@ -118,8 +118,8 @@
     demand: ownership.Demand,
     *,
     rebalance: bool,
-) -> tuple[ownership.Move, ...]:
-    """Returns moves that balance the utilisation of the candidates.
+) -> ownership.BalancePlan:
+    """Plans moves that balance the utilisation of the candidates.
 
     All keys whose owner isn't a candidate are moved. Moves between candidates
     are limited to a few at a time.
@@ -131,8 +131,10 @@
         rebalance: Whether to move keys between candidates as well.
     """
     if not candidates:
-        return ()
+        return ownership.BalancePlan(())
     plan = _create_plan(table, candidates, demand)
+    busiest = max(plan.utilisations, key=lambda s: plan.utilisations[s])
+    highest_utilisation = plan.utilisations[busiest]
     moves = _reassign_orphaned_ranges(plan)
     max_moves = max(_MIN_MOVES, int(_MOVES_PER_SERVER * len(candidates)))
     while rebalance and len(moves) < max_moves:
@@ -140,8 +142,11 @@
         if move is None:
             break
         moves.append(move)
-    return tuple(
-        part for move in moves for part in _split_into_parts(plan, move)
+    return ownership.BalancePlan(
+        tuple(part for move in moves for part in _split_into_parts(plan, move)),
+        busiest,
+        highest_utilisation,
+        _mean_utilisation(plan),
     )
 
 
--- a/berylweir/gateway/ownership/models.py
+++ b/berylweir/gateway/ownership/models.py
@@ -54,3 +54,21 @@
     rates: Mapping[int, float]
     base_rate: float
     rate_variance: float = 0.0
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class BalancePlan:
+    """Moves that balance a group, and the load that they are planned for.
+
+    Attributes:
+        moves: The moves.
+        busiest: The candidate with the highest utilisation; None without
+            candidates.
+        highest_utilisation: Its utilisation before the moves.
+        mean_utilisation: Utilisation of each candidate if all were equal.
+    """
+
+    moves: tuple[Move, ...]
+    busiest: models.ServerInstance | None = None
+    highest_utilisation: float = 0.0
+    mean_utilisation: float = 0.0
--- a/berylweir/gateway/ownership/task.py
+++ b/berylweir/gateway/ownership/task.py
@@ -7,6 +7,7 @@
 import asyncio
 from collections.abc import Callable
 from collections.abc import Mapping
+from collections.abc import Sequence
 import contextlib
 import dataclasses
 import functools
@@ -21,8 +22,10 @@
 from berylweir.gateway import revisions
 from berylweir.gateway.dispatch import task as dispatch
 from berylweir.gateway.ownership import balance
+from berylweir.gateway.ownership import balance_monitor
 from berylweir.gateway.ownership import candidates
 from berylweir.gateway.ownership import granting
+from berylweir.gateway.ownership import holds
 from berylweir.gateway.ownership import lease as leases
 from berylweir.gateway.ownership import models as ownership
 from berylweir.gateway.ownership import owner_contact
@@ -121,6 +124,7 @@
         self._candidates = candidates.CandidateSelector(
             self._reports.server_statistics
         )
+        self._monitor = balance_monitor.BalanceMonitor(metrics)
         self._state_changed = asyncio.Event()
         self._move_completed = asyncio.Event()
         self._lease_acquired_s = 0.0
@@ -240,6 +244,7 @@
                     self._vms = vms
                     self._lease.update_vms(vms)
                     self._publisher.update_vms(vms)
+                    self._monitor.reports.update_vms(vms, clock.boot_s())
                 case messages.LeaseChanged(lease):
                     self._lease.update_lease(lease)
                 case messages.KeyTableChanged(table):
@@ -275,6 +280,7 @@
                 self._granter.apply_table(table)
 
     def _record_usage(self, usage: messages.KeyUsage) -> None:
+        self._monitor.reports.record(usage.vm, clock.boot_s())
         if self._reports.record(usage):
             self._state_changed.set()
 
@@ -291,6 +297,7 @@
     ) -> None:
         self._groups_with_new_tokens.clear()
         self._lease_acquired_s = clock.boot_s()
+        self._monitor.start_epoch(self._lease_acquired_s)
         self._reports.owner_contact.start_epoch()
         self._granter.start_epoch(predecessors_stop_s)
         self._state_changed.set()
@@ -323,6 +330,7 @@
     def _on_lease_lost(self) -> None:
         _LOGGER.info("stopped granting")
         self._groups_with_new_tokens.clear()
+        self._monitor.stop(clock.boot_s())
         self._granter.stop()
         self._publisher.stop()
 
@@ -368,8 +376,7 @@
         next_balance_s = 0.0
         while True:
             if not self._lease.may_act:
-                self._state_changed.clear()
-                await self._state_changed.wait()
+                await self._wait_for_authority()
                 continue
             if self._hand_over_if_cut_off():
                 continue
@@ -380,7 +387,11 @@
                 self._record_usage(await self._reports.collect())
             for name, group in list(self._groups.items()):
                 if group.is_keyed and self._lease.may_act:
-                    await self._balance_group(name, is_due=is_due)
+                    found = await self._balance_group(name, is_due=is_due)
+                    if is_due and self._lease.may_act:
+                        now_s = clock.boot_s()
+                        self._monitor.record_tables(self._tables, now_s)
+                        self._monitor.record_pass(name, found, now_s)
             self._move_completed.clear()
             self._state_changed.clear()
             waiters = [
@@ -397,13 +408,31 @@
             if self._move_completed.is_set():
                 await asyncio.sleep(_COMPLETION_BATCH_S)
 
-    async def _balance_group(self, name: str, *, is_due: bool) -> None:
+    async def _wait_for_authority(self) -> None:
+        """Waits until this keeper may act, or for an interval."""
+        if self._lease.is_holder:
+            for name, group in self._groups.items():
+                if group.is_keyed:
+                    self._monitor.record_pass(
+                        name, (holds.LeaseUnconfirmed(),), clock.boot_s()
+                    )
+        self._state_changed.clear()
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(_BALANCE_INTERVAL_S):
+                await self._state_changed.wait()
+
+    async def _balance_group(
+        self, name: str, *, is_due: bool
+    ) -> Sequence[holds.Hold]:
         """Creates a group's table, raises its tokens or starts moves in it.
 
         Args:
             name: Name of the server group.
             is_due: Whether to move keys for balance; if not, only the keys of
                 servers that can't own any more are moved.
+
+        Returns:
+            What has held moves of the group.
         """
         table = self._tables.get(name)
         eligible = self._candidates.select(
@@ -414,65 +443,68 @@
             else None,
         )
         if table is None:
-            await self._create_table(name, eligible)
-            return
+            return await self._create_table(name, eligible)
         if table.epoch > self._lease.epoch:
-            return
+            return (holds.LaterTable(),)
         if name not in self._groups_with_new_tokens:
-            if await self._write_table(
-                tables.raise_tokens(table, self._lease.epoch)
-            ):
-                self._groups_with_new_tokens.add(name)
-                self._granter.apply_table(self._tables[name])
-            return
-        moves = balance.plan_moves(
-            table,
-            eligible,
-            self._reports.demand(name),
-            rebalance=is_due,
+            return await self._raise_tokens(table)
+        if not eligible:
+            return (holds.NoCandidates(),)
+        plan = balance.plan_moves(
+            table, eligible, self._reports.demand(name), rebalance=is_due
         )
-        startable = [m for m in moves if self._can_start(table, m)]
-        if startable and await self._write_table(
-            tables.start_moves(table, startable)
-        ):
-            _LOGGER.info(
-                "moves begun",
-                extra={
-                    "group": name,
-                    "moves": len(startable),
-                    "candidates": len(eligible),
-                    "revision": self._tables[name].revision,
-                },
-            )
-
-    def _can_start(self, table: models.KeyTable, move: ownership.Move) -> bool:
-        """Returns whether a move's keys can be released.
-
-        No unreleased range of them may be moving, and no owner may be about to
-        get its first grant.
-        """
-        return all(
-            not self._granter.awaits_first_grant(r)
-            if r.previous_owner is None
-            else self._granter.is_released(table.group, r)
-            for r in table.ranges
-            if r.first <= move.last and r.last >= move.first
+        self._monitor.record_plan(name, plan)
+        startable, found = holds.partition_moves(
+            plan.moves,
+            lambda move: holds.check_move(
+                table,
+                move,
+                awaits_first_grant=self._granter.awaits_first_grant,
+                is_released=functools.partial(self._granter.is_released, name),
+            ),
         )
+        if not startable:
+            return found
+        if not await self._write_table(tables.start_moves(table, startable)):
+            return (*found, holds.TableNotWritten())
+        _LOGGER.info(
+            "moves begun",
+            extra={
+                "group": name,
+                "moves": len(startable),
+                "candidates": len(eligible),
+                "revision": self._tables[name].revision,
+            },
+        )
+        return found
+
+    async def _raise_tokens(
+        self, table: models.KeyTable
+    ) -> Sequence[holds.Hold]:
+        """Writes a group's table with tokens of the present lease."""
+        if not await self._write_table(
+            tables.raise_tokens(table, self._lease.epoch)
+        ):
+            return (holds.TableNotWritten(),)
+        self._groups_with_new_tokens.add(table.group)
+        self._granter.apply_table(self._tables[table.group])
+        return ()
 
     async def _create_table(
         self, name: str, eligible: list[ownership.Candidate]
-    ) -> None:
+    ) -> Sequence[holds.Hold]:
         """Creates a group's first table once servers had time to register."""
-        if (
-            not eligible
-            or clock.boot_s() - self._lease_acquired_s < _REGISTRATION_WAIT_S
-        ):
-            return
+        if clock.boot_s() - self._lease_acquired_s < _REGISTRATION_WAIT_S:
+            return ()
+        if not eligible:
+            return (holds.NoCandidates(),)
         owners = self._candidates.sort_by_zone(eligible)
         table = tables.create(name, owners, self._lease.epoch)
-        if await self._write_table(table):
-            self._groups_with_new_tokens.add(name)
-            self._granter.apply_table(self._tables[name])
+        if not await self._write_table(table):
+            return (holds.TableNotWritten(),)
+        self._groups_with_new_tokens.add(name)
+        self._granter.apply_table(self._tables[name])
+        return ()
 
     async def _write_completed_moves(self) -> None:
         """Writes the tables in which moves were completed."""
--- a/tests/gateway/ownership/test_balance.py
+++ b/tests/gateway/ownership/test_balance.py
@@ -42,7 +42,8 @@
 def apply_moves(table, servers, demand, rounds=20):
     """Returns the table after several rounds of moves."""
     for _ in range(rounds):
-        moves = balance.plan_moves(table, servers, demand, rebalance=True)
+        plan = balance.plan_moves(table, servers, demand, rebalance=True)
+        moves = plan.moves
         table = tables.complete_moves(
             tables.start_moves(table, moves), lambda _: True
         )
@@ -127,7 +128,8 @@
         demand = ownership.Demand({k * 600: 1.0 for k in range(100)}, 0.0001)
         table = tables.create("g", _INSTANCES, 1)
         servers = candidates(100, 100, 100)
-        moves = balance.plan_moves(table, servers, demand, rebalance=False)
+        plan = balance.plan_moves(table, servers, demand, rebalance=False)
+        moves = plan.moves
         table = tables.complete_moves(
             tables.start_moves(table, moves), lambda _: True
         )
@@ -143,7 +145,7 @@
         )
         moves = balance.plan_moves(
             table, candidates(100, 100, 100, 100)[1:], demand, rebalance=False
-        )
+        ).moves
         part_rates = [
             sum(
                 rate
@@ -157,7 +159,7 @@
         idle = ownership.Demand({}, 0.0001)
         moves = balance.plan_moves(
             table, candidates(100, 100, 100, 100)[1:], idle, rebalance=False
-        )
+        ).moves
         assert len(moves) <= 4
 
     def test_balanced_load_causes_no_moves(self):
@@ -165,7 +167,8 @@
         demand = ownership.Demand({k * 655: 1.0 for k in range(100)}, 0.0001)
         table = tables.create("g", _INSTANCES, 1)
         servers = candidates(100, 100, 100, 100)
-        assert not balance.plan_moves(table, servers, demand, rebalance=True)
+        plan = balance.plan_moves(table, servers, demand, rebalance=True)
+        assert not plan.moves
 
     @hypothesis.given(
         st.dictionaries(
@@ -181,7 +184,8 @@
         instances = {c.instance for c in servers}
         table = tables.create("g", _INSTANCES, 1)
         demand = ownership.Demand(rates, 0.0001)
-        moves = balance.plan_moves(table, servers, demand, rebalance=True)
+        plan = balance.plan_moves(table, servers, demand, rebalance=True)
+        moves = plan.moves
         assert {m.target for m in moves} <= instances
         moved = tables.complete_moves(
             tables.start_moves(table, moves), lambda _: True
--- a/tests/gateway/ownership/test_balance_replay.py
+++ b/tests/gateway/ownership/test_balance_replay.py
@@ -84,7 +84,7 @@
                 ],
                 self._estimator.estimate(self._now_s),
                 rebalance=True,
-            )
+            ).moves
             self.moved_keys += sum(m.last - m.first + 1 for m in moves)
             self._table = tables.complete_moves(
                 tables.start_moves(self._table, moves), lambda _: True
