Wait for a VM's usage with a bound

The lease holder and each gateway that reports to it waited for a reply of the dispatcher without a bound. If the dispatcher crashed while it collected the usage, the holder planned no move and wrote no completed one until it was replaced, and another gateway neither reported nor monitored the holder any more.

--- a/berylweir/gateway/ownership/task.py
+++ b/berylweir/gateway/ownership/task.py
@@ -120,7 +120,9 @@
         # Groups whose tokens this keeper has raised under its present lease.
         # The granter gets the tables of these groups only.
         self._groups_with_new_tokens: set[str] = set()
-        self._reports = usage_reports.UsageReports(local_vm.name, dispatcher)
+        self._reports = usage_reports.UsageReports(
+            local_vm.name, dispatcher, metrics
+        )
         self._candidates = candidates.CandidateSelector(
             self._reports.server_statistics
         )
@@ -384,7 +386,9 @@
             is_due = loop.time() >= next_balance_s
             if is_due:
                 next_balance_s = loop.time() + _BALANCE_INTERVAL_S
-                self._record_usage(await self._reports.collect())
+                usage = await self._reports.collect()
+                if usage is not None:
+                    self._record_usage(usage)
             for name, group in list(self._groups.items()):
                 if group.is_keyed and self._lease.may_act:
                     found = await self._balance_group(name, is_due=is_due)
