Take the lease above the epoch of a key table

If the store had lost the object of the lease but not the key table, such as after somebody deleted it, a gateway that had started since took the lease under epoch 1. It made no plan, raised no tokens and granted no keys, since the table was of a later epoch, and nothing ended that. The holder now gives the lease up as it does when it hears of a later epoch, and takes it again above the table's. It waits for the grants of earlier holders then, as for any holder whose predecessor is unknown.

pytest tests/gateway/ownership/test_liveness.py: test_keys_get_owners failed before (no table within 16.7 s); 82 passed after.

--- a/berylweir/gateway/ownership/holds.py
+++ b/berylweir/gateway/ownership/holds.py
@@ -20,11 +20,6 @@
     """No server of the group is eligible to own keys."""
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class LaterTable:
-    """The known table was written under a later lease."""
-
-
 @dataclasses.dataclass(frozen=True, slots=True)
 class TableNotWritten:
     """The store didn't take the group's table, or the new tokens in it."""
@@ -66,7 +61,6 @@
 Hold = (
     LeaseUnconfirmed
     | NoCandidates
-    | LaterTable
     | TableNotWritten
     | AwaitsFirstGrant
     | AwaitsRelease
@@ -81,8 +75,6 @@
             return "moves.held.lease_unconfirmed"
         case NoCandidates():
             return "moves.held.no_candidates"
-        case LaterTable():
-            return "moves.held.later_table"
         case TableNotWritten():
             return "moves.held.table_not_written"
         case AwaitsFirstGrant():
@@ -102,12 +94,7 @@
             return server
         case ReportsMissing(vm):
             return vm
-        case (
-            LeaseUnconfirmed()
-            | NoCandidates()
-            | LaterTable()
-            | TableNotWritten()
-        ):
+        case LeaseUnconfirmed() | NoCandidates() | TableNotWritten():
             return ""
         case _:
             typing.assert_never(hold)
--- a/berylweir/gateway/ownership/task.py
+++ b/berylweir/gateway/ownership/task.py
@@ -449,7 +449,19 @@
         if table is None:
             return await self._create_table(name, eligible)
         if table.epoch > self._lease.epoch:
-            return (holds.LaterTable(),)
+            # The store has lost the lease of that epoch, so this one was taken
+            # below it.
+            self._metrics.count("lease.below_table")
+            _LOGGER.warning(
+                "lease below key table",
+                extra={
+                    "group": name,
+                    "epoch": self._lease.epoch,
+                    "table_epoch": table.epoch,
+                },
+            )
+            self._lease.handle_newer_epoch(table.epoch)
+            return ()
         if name not in self._groups_with_new_tokens:
             return await self._raise_tokens(table)
         if not eligible:
--- a/tests/gateway/ownership/test_liveness.py
+++ b/tests/gateway/ownership/test_liveness.py
@@ -115,6 +115,29 @@
                 deployment.add_server(name)
 
 
+class TestLostLease:
+    """A store that lacks the lease under which its key table was written."""
+
+    def test_keys_get_owners(self):
+        """Guards against a holder whose epoch stays below the table's."""
+        holder_rig.run(self.play())
+
+    async def play(self) -> None:
+        """Waits until the table is written under a higher epoch."""
+        deployment = holder_rig.Deployment(random.Random(1))
+        owners = [holder_rig.instance(name) for name in _SERVERS[:3]]
+        table = tables.create(holder_rig.GROUP.name, owners, 7)
+        deployment.store.put(table.group, objects.encode_table(table))
+        deployment.announce_table()
+        deployment.announce_no_lease()
+        async with deployment.run():
+            for name in _SERVERS[:3]:
+                deployment.add_server(name)
+            async with asyncio.timeout(_SETTLED_S):
+                while deployment.table.epoch <= 7:
+                    await asyncio.sleep(0.1)
+
+
 class TestReports:
     """A gateway that reports to the holder of the lease."""
 
