Bound the wait for keys whose release is refused

A move waits until its source has released the keys or its grants of them have expired. If the source hadn't accepted all of its first grants when the move began, the expiry was computed anew from all grants sent to it, so that each renewal of its other keys put it off. If such a source refused the release or didn't answer it, as a request was still running, the move never ended and nobody served the keys.

The wait now ends with the last grant that was sent before the move, or with the earlier keepers' grants if that is later. Renewals that come after don't contain the keys: they are sent under the same lock from the newest table.

--- a/berylweir/gateway/ownership/granting.py
+++ b/berylweir/gateway/ownership/granting.py
@@ -514,23 +514,23 @@
             # While the lock is held no renewal is in flight, and none that
             # includes this range will follow.
             last_expires_s = self._expiries.for_server(source).expires_s
-            is_fenced = self._expiries.for_server(source).is_fenced
             # A server that has started again has forgotten the tokens.
             may_be_granted_by_predecessor = self._is_unfenced(
                 source, key_range
             ) or self._was_replaced(source)
+            awaits_predecessor = (
+                may_be_granted_by_predecessor
+                or not self._expiries.for_server(source).is_fenced
+            )
         await asyncio.sleep(_PUBLISH_DELAY_S)
 
         def expires_s() -> float:
             # Computed anew each time, as the bound on an earlier keeper's
-            # grants may be lowered meanwhile.
-            if may_be_granted_by_predecessor:
+            # grants may be lowered meanwhile. Later grants of this keeper don't
+            # count: they renew other ranges.
+            if awaits_predecessor:
                 return max(last_expires_s, self._expiries.inherited_expires_s)
-            return (
-                last_expires_s
-                if is_fenced
-                else self._expiries.expires_s(source)
-            )
+            return last_expires_s
 
         while (
             clock.boot_s() < expires_s()
--- a/tests/gateway/ownership/test_granting.py
+++ b/tests/gateway/ownership/test_granting.py
@@ -16,6 +16,7 @@
 from berylweir.observability import counters
 from berylweir.platform import grants
 from berylweir.router.backends import connection as http
+from tests.gateway.ownership import holder_rig
 
 _INSTANCES = [
     models.ServerInstance(name, 1) for name in ("from", "target", "next")
@@ -52,8 +53,11 @@
 
     address = ("127.0.0.1", 1)
 
-    def __init__(self, unreachable_keys: range) -> None:
+    def __init__(
+        self, unreachable_keys: range, *, releases: bool = True
+    ) -> None:
         self._unreachable_keys = unreachable_keys
+        self._releases = releases
         self.granted_s: dict[int, float] = {}
 
     async def send(self, command: grants.Command) -> grant_client.SendOutcome:
@@ -61,6 +65,8 @@
         await asyncio.sleep(0)
         if command.first in self._unreachable_keys:
             return grant_client.NotSent()
+        if isinstance(command, grants.Release) and not self._releases:
+            return grants.Rejected(503)
         if isinstance(command, grants.Grant):
             self.granted_s.setdefault(command.first, clock.boot_s())
         return grants.Accepted("warm")
@@ -113,6 +119,44 @@
         )
 
 
+class TestRefusedReleases:
+    """Moves whose source gets grants of other keys but releases none."""
+
+    def test_keys_move_once_the_last_grant_of_them_has_expired(self):
+        """Guards against a wait that each renewal of other keys extends."""
+        holder_rig.run(self.move())
+
+    async def move(self) -> None:
+        """Moves keys of a source that never accepts all of its grants."""
+        source, target, _ = _INSTANCES
+        table = tables.start_moves(
+            tables.create("g", [source], 1),
+            [ownership.Move(100 * n, 100 * n + 99, target) for n in (1, 3)],
+        )
+        table = tables.complete_moves(table, lambda _: True)
+        tables_by_group = {"g": table}
+        servers = {
+            source: FakeServer(range(400, 500), releases=False),
+            target: FakeServer(range(0)),
+        }
+        granter = create_granter(tables_by_group, servers)
+        granter.start_epoch(clock.boot_s() + _EARLIER_KEEPER_ACTS_S)
+        granter.apply_table(table)
+        while 200 not in servers[source].granted_s:
+            await asyncio.sleep(0.01)
+        await asyncio.sleep(0.5)
+        started_s = clock.boot_s()
+        moving = tables.start_moves(table, [ownership.Move(200, 299, target)])
+        tables_by_group["g"] = dataclasses.replace(moving, revision=2)
+        granter.apply_table(tables_by_group["g"])
+        async with asyncio.timeout(10.0):
+            while 200 not in servers[target].granted_s:
+                await asyncio.sleep(0.01)
+        granter.close()
+        waited_s = servers[target].granted_s[200] - started_s
+        assert waited_s >= grant_expiry.GRANT_DURATION_S - 0.5
+
+
 class TestInheritedMoves:
     """Moves that an earlier keeper wrote, but may not know of."""
 
