Plan moves of keys whose owner isn't granted any for long

A move of keys was left out of each plan until their owner had accepted the first grant of the present holder, since an earlier holder may grant them too and the move would wait for the end of these grants. Nothing bounded that if grants to the owner were neither sent nor failed. Once the grants of all earlier holders have expired, which takes 16.7 s at most, such a move waits for nothing, so it is planned. Its release still waits for this holder's grants.

--- a/berylweir/gateway/ownership/granting.py
+++ b/berylweir/gateway/ownership/granting.py
@@ -198,11 +198,13 @@
         """Returns whether a range's owner is about to accept the first grant.
 
         Until then an earlier keeper may grant it the range as well, and a move
-        of the range would wait for the end of these grants.
+        of the range would wait for the end of these grants. Once they have
+        ended, a move needn't wait for the first grant.
         """
         owner = key_range.owner
         return (
             owner is not None
+            and clock.boot_s() < self._expiries.inherited_expires_s
             and self._is_unfenced(owner, key_range)
             and owner in self._clients
             and self._expiries.for_server(owner).consecutive_failures == 0
--- a/tests/gateway/ownership/test_granting.py
+++ b/tests/gateway/ownership/test_granting.py
@@ -296,6 +296,21 @@
         assert awaited == [False, False]
         granter.close()
 
+    async def test_first_grant_is_awaited_no_longer_than_earlier_grants(self):
+        """Guards against keys that never move, as their owner is granted none.
+
+        Moving them takes no longer once no earlier keeper's grant is left.
+        """
+        source, _, _ = _INSTANCES
+        table = tables.raise_tokens(tables.create("g", [source], 1), 2)
+        granter = create_granter({"g": table}, {source: FakeServer(range(0))})
+        granter.start_epoch(
+            clock.boot_s() - grant_expiry.max_grant_lifetime_s()
+        )
+        granter.apply_table(table)
+        assert not granter.awaits_first_grant(table.ranges[0])
+        granter.close()
+
 
 class Authority:
     """Whether a keeper may act."""
