Answer requests that outlast a planned stop

Callers saw: a request that a server was still working on at the end of a planned stop got nothing; the end of the process cut its connection, and with it the ready answers and the waiting requests behind it.

Cause: a stop limited until when requests are sent, but not until when they run. Whoever was sent before could take longer than the stop.

Change: 0.2 s before the connections end, requests of callers whose deadline lies behind that end are answered: 502 if they were sent to a server or another gateway, 503 if nothing was sent. With a grace period of 6 s that is 5.2 s after SIGTERM, in its last sixth. Requests with an earlier deadline end by themselves. Requests of other gateways are cut as before: those learn the same from it, and may send the request elsewhere. A response that is being written is cut as before.

--- a/berylweir/gateway/exchange/answers.py
+++ b/berylweir/gateway/exchange/answers.py
@@ -121,7 +121,7 @@
             return self.refuse_unreachable(
                 request, route, _STOPPING_RETRY_AFTER_S, is_isolated=True
             )
-        if state.may_have_run:
+        if state.may_have_run or state.sent_to is not None:
             return self.fail(request, route, outcomes.BAD_GATEWAY, "stopping")
         return self.refuse(request, route, "stopping", _STOPPING_RETRY_AFTER_S)
 
--- a/berylweir/gateway/exchange/handler.py
+++ b/berylweir/gateway/exchange/handler.py
@@ -60,7 +60,7 @@
         self._answers = answers.AnswerBuilder(metrics)
         self._route_table: routing.RouteTable | None = None
         self._traffic_splitter = routing.TrafficSplitter()
-        self._send_limits = stopping.SendLimits()
+        self._stop_limits = stopping.StopLimits()
 
     @property
     def route_table(self) -> routing.RouteTable | None:
@@ -85,8 +85,8 @@
                 pass
 
     def begin_stop(self, stop: stopping.Stopping) -> None:
-        """Refuses requests that can't be finished before the gateway ends."""
-        self._send_limits.begin_stop(stop)
+        """Answers requests that can't be finished before the gateway ends."""
+        self._stop_limits.begin_stop(stop)
 
     async def handle(self, request: exchange.CallerRequest) -> exchange.Answer:
         """Returns the answer to a request.
@@ -99,18 +99,28 @@
         if route is None:
             return self._answers.answer_no_route(request)
         group, state, timeout_ms = self._prepare(request, route)
+        deadline_s = request.head_received_s + timeout_ms / 1000.0
+        limited = _limit_stop(request, route, deadline_s)
+        run = self._stop_limits.begin_run(limited)
         try:
-            async with request.answer_limit.enforce(
-                lambda: self._may_give_up(route, state)
+            async with (
+                run,
+                request.answer_limit.enforce(
+                    lambda: self._may_give_up(route, state)
+                ),
             ):
                 return await self._serve(
-                    request, route, group, state, timeout_ms
+                    request, route, group, state, deadline_s, limited
                 )
         except TimeoutError:
+            if run.expired():
+                return self._answers.answer_stopping(request, route, state)
             return self._answers.answer_given_up(request, route, state)
         except asyncio.CancelledError:
             self._answers.record_abandoned(request, route, state)
             raise
+        finally:
+            self._stop_limits.end_run(run)
 
     def _may_give_up(
         self, route: models.Route, state: exchange.RequestState
@@ -121,7 +131,7 @@
         run. In a planned stop, what was sent to a server isn't broken off.
         """
         return route.idempotency is models.Idempotency.IDEMPOTENT and (
-            state.sent_to is None or not self._send_limits.is_stopping
+            state.sent_to is None or not self._stop_limits.is_stopping
         )
 
     async def _serve(
@@ -130,12 +140,11 @@
         route: models.Route,
         group: str,
         state: exchange.RequestState,
-        timeout_ms: float,
+        deadline_s: float,
+        limited: stopping.Limited,
     ) -> exchange.Answer:
         """Sends a request to servers until there is an answer."""
-        deadline_s = request.head_received_s + timeout_ms / 1000.0
         loop = asyncio.get_running_loop()
-        limited = _limit_sending(request, route, deadline_s)
         request_fingerprint = request.fingerprint()
         while True:
             requirements = self._build_requirements(
@@ -143,16 +152,16 @@
             )
             if deadline_s <= loop.time():
                 return self._answers.answer_timeout(request, route, state)
-            if not self._send_limits.allows(limited, loop.time()):
+            if not self._stop_limits.allows(limited, loop.time()):
                 return self._answers.answer_stopping(request, route, state)
-            wait = self._send_limits.begin_wait(limited)
+            wait = self._stop_limits.begin_wait(limited)
             try:
                 async with wait:
                     placement = await self._find_server(requirements)
             except TimeoutError:
                 return self._answers.answer_stopping(request, route, state)
             finally:
-                self._send_limits.end_wait(wait)
+                self._stop_limits.end_wait(wait)
             match placement:
                 case messages.NotPlaced():
                     return self._answers.answer_not_placed(
@@ -481,10 +490,10 @@
     return asyncio.get_running_loop().time()
 
 
-def _limit_sending(
+def _limit_stop(
     request: exchange.CallerRequest, route: models.Route, deadline_s: float
 ) -> stopping.Limited:
-    """Returns what limits the sending of a request in a planned stop."""
+    """Returns what limits a request in a planned stop."""
     # A download may take longer than the route's timeout.
     finish_s = (
         responses.stream_deadline_s(request, deadline_s)
--- a/tests/gateway/test_forwarding.py
+++ b/tests/gateway/test_forwarding.py
@@ -269,6 +269,23 @@
             caller.writer.transport.abort()
             await rig.until(lambda: count(gateway, "abandoned") == 1)
 
+    async def test_forwarded_request_that_outlasts_a_stop_is_answered(self):
+        """Guards against a stop that cuts off what it has forwarded."""
+        async with start_deployment("unsafe", timeout_ms=20_000) as deployment:
+            gateway, _ = split_by_lease(deployment)
+            await cut(deployment, gateway)
+            for server in deployment.servers.values():
+                server.service_s = 60.0
+            caller = await gateway.connect()
+            caller.send("/r/1", "a1", method="POST", deadline_ms=20_000)
+            await rig.until(lambda: "a1" in run_ids(deployment))
+            stop_task = asyncio.create_task(gateway.stop())
+            async with asyncio.timeout(15.0):
+                reply = await caller.read()
+            assert reply.status == 502
+            assert reply.headers["connection"] == "close"
+            await stop_task
+
     async def test_stopped_gateway_is_replaced_by_another(self):
         """Guards against requests that are lost at a planned stop."""
         async with start_deployment("unsafe", gateways=3) as deployment:
--- a/tests/gateway/test_stop.py
+++ b/tests/gateway/test_stop.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import math
 import os
 import signal
 import sys
@@ -56,6 +57,13 @@
     assert reply.headers["connection"] == "close"
 
 
+def assert_may_have_run(reply: rig.Reply | None) -> None:
+    """Asserts that a caller was told that a server may have run its request."""
+    assert reply is not None
+    assert (reply.status, reply.is_whole) == (502, True)
+    assert reply.headers["connection"] == "close"
+
+
 class TestLateRequests:
     """Requests that can't be finished before the grace period ends."""
 
@@ -192,6 +200,84 @@
             await stop_task
 
 
+class TestRequestsThatOutlastTheStop:
+    """Requests that are still running when the grace period ends."""
+
+    @pytest.mark.parametrize(
+        ("kind", "method"), [("safe", "GET"), ("unsafe", "POST")]
+    )
+    async def test_caller_is_told_that_it_may_have_run(
+        self, tmp_path, kind, method
+    ):
+        """Guards against a process whose end cuts requests off."""
+        async with (
+            start_deployment(
+                service_s=20.0, kind=kind, timeout_ms=_LONG_TIMEOUT_MS
+            ) as (deployment, _),
+            start_program(deployment, tmp_path) as (port, process),
+        ):
+            callers = []
+            for number, pause_s in enumerate((0.5, 1.7)):
+                if not callers:
+                    process.send_signal(signal.SIGTERM)
+                await asyncio.sleep(pause_s)
+                reader, writer = await asyncio.open_connection(
+                    "127.0.0.1", port
+                )
+                callers.append(rig.Caller(reader, writer))
+                callers[-1].send(
+                    f"/r/{number}",
+                    f"a{number}",
+                    method=method,
+                    deadline_ms=_LONG_TIMEOUT_MS,
+                )
+            for caller in callers:
+                assert_may_have_run(await caller.read())
+                assert await caller.reader.read() == b""
+            assert await process.wait() == 0
+            assert sorted(run_ids(deployment)) == ["a0", "a1"]
+
+    @pytest.mark.parametrize(
+        ("kind", "statuses"), [("safe", [502, 200]), ("unsafe", [502, 503])]
+    )
+    async def test_requests_behind_it_are_answered(self, kind, statuses):
+        """Guards against losing ready answers, and requests that wait."""
+        async with start_deployment(
+            service_s=20.0, kind=kind, timeout_ms=_LONG_TIMEOUT_MS
+        ) as (deployment, gateway):
+            caller = await gateway.connect()
+            caller.send("/r/1", "a1", deadline_ms=_LONG_TIMEOUT_MS)
+            await rig.until(lambda: run_ids(deployment) == ["a1"])
+            for server in deployment.servers.values():
+                server.service_s = 0.0
+            caller.send("/r/2", "a2", deadline_ms=_LONG_TIMEOUT_MS)
+            await asyncio.sleep(0.1)
+            stop_task = asyncio.create_task(gateway.stop())
+            replies = [await caller.read() for _ in statuses]
+            assert [r and r.status for r in replies] == statuses
+            assert replies[-1].headers["connection"] == "close"
+            assert await caller.reader.read() == b""
+            await stop_task
+
+    async def test_download_that_is_being_written_goes_on(self):
+        """Guards against ending a download before the process ends."""
+        async with start_deployment(
+            service_s=0.0, kind="download", timeout_ms=_LONG_TIMEOUT_MS
+        ) as (deployment, gateway):
+            body = bytes(48_000_000)
+            for server in deployment.servers.values():
+                server.next_responses.append(
+                    http.Response(200, {"Response-Seal": "x"}, body)
+                )
+            caller = await gateway.connect()
+            caller.send("/r/1", "a1", deadline_ms=_LONG_TIMEOUT_MS)
+            await rig.until(lambda: run_ids(deployment) == ["a1"])
+            await asyncio.sleep(0.5)
+            stop_task = asyncio.create_task(gateway.stop())
+            await stop_task
+            assert (await caller.read()).is_whole
+
+
 class TestRepeatedSignals:
     """Signals that follow each other at a real process."""
 
@@ -418,3 +504,55 @@
         harness = HandlerHarness(kind="download", timeout_ms=1000.0)
         harness.begin_stop(accepts_s=0.0, ends_s=5.0)
         assert (await harness.handle(9000.0)).status == 503
+
+
+class TestRuns:
+    """Requests that run when the gateway stops."""
+
+    @pytest.mark.parametrize(
+        ("finish_s", "was_forwarded", "latest_s"),
+        [(5.1, False, 4.8), (5.0, False, math.inf), (9.0, True, math.inf)],
+    )
+    def test_only_requests_of_callers_that_outlast_the_stop_are_ended(
+        self, finish_s, was_forwarded, latest_s
+    ):
+        """Guards against breaking off what ends in time.
+
+        A gateway that forwarded a request sends it elsewhere if it may.
+        """
+        latest = stopping.latest_run_s(
+            stopping.Stopping(2.8, 5.0),
+            stopping.Limited(finish_s, was_forwarded),
+        )
+        assert latest == pytest.approx(latest_s)
+
+    async def test_answer_tells_whether_the_request_was_sent(self):
+        """Guards against promising that a request at a server hasn't run."""
+        harness = HandlerHarness(kind="unsafe", timeout_ms=9000.0)
+        async with rig.Rig() as deployment:
+            server = await deployment.add_server("s0", "books", service_s=20.0)
+            tasks = [harness.handle(9000.0) for _ in range(2)]
+            place_request = await harness.inbox.get()
+            now_s = asyncio.get_running_loop().time()
+            place_request.reply.set_result(
+                messages.Placement(
+                    models.BackendServer(
+                        "s0",
+                        1,
+                        "books",
+                        "127.0.0.1",
+                        deployment.ports["s0"],
+                        "a",
+                        3,
+                        False,
+                        0.0,
+                        1,
+                    ),
+                    None,
+                    now_s,
+                    0.0,
+                )
+            )
+            await rig.until(lambda: bool(server.executions))
+            harness.begin_stop(accepts_s=0.1, ends_s=1.0)
+            assert [(await t).status for t in tasks] == [502, 503]
