Refuse uploads that are incomplete at the end of a stop

Callers saw: a request whose body was still arriving at the end of a planned stop got nothing; the end of the process cut its connection.

Cause: a connection on which a request is being received was never closed by a stop, only checked for slowness.

Nothing of it has been sent to a server, so it hasn't run.

--- a/berylweir/gateway/ingress/models.py
+++ b/berylweir/gateway/ingress/models.py
@@ -70,6 +70,21 @@
     size_bytes: int
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Interrupted:
+    """A request that was still being received when the gateway stopped.
+
+    Attributes:
+        request_id: Id of the request; empty if it has none, or if its head
+            wasn't complete.
+    """
+
+    request_id: str
+
+
+Rejection = Violation | NoMemory | Interrupted
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class RequestTraits:
     """What the configuration says of a request.
@@ -158,7 +173,7 @@
             self.task.add_done_callback(_close_answer)
 
 
-Entry = PendingRequest | Violation | NoMemory
+Entry = PendingRequest | Rejection
 
 
 def _close_answer(task: "asyncio.Task[exchange.Answer]") -> None:
--- a/berylweir/gateway/ingress/protocol.py
+++ b/berylweir/gateway/ingress/protocol.py
@@ -345,6 +345,16 @@
             self._close_input(ingress.CloseReason.STOPPING)
         self._request_close(ingress.CloseReason.STOPPING)
 
+    def interrupt_receiving(self) -> None:
+        """Refuses a request that is still being received."""
+        if self._last_progress_s is not None:
+            incoming = self._incoming
+            self._reject(
+                ingress.Interrupted(
+                    incoming.head.request_id if incoming else ""
+                )
+            )
+
     def _request_close(self, reason: ingress.CloseReason) -> None:
         """Closes the connection unless a request arrives first."""
         self._is_closing = True
@@ -407,7 +417,11 @@
         match self._queue.oldest:
             case ingress.PendingRequest() as entry:
                 return await self._answer_request(entry)
-            case ingress.Violation() | ingress.NoMemory() as failure:
+            case (
+                ingress.Violation()
+                | ingress.NoMemory()
+                | ingress.Interrupted() as failure
+            ):
                 if self._writer is not None:
                     self._rejections.write(failure, self._writer)
                 return False
@@ -481,7 +495,7 @@
         if not self._is_reading_paused and self._transport is not None:
             self._transport.resume_reading()
 
-    def _reject(self, failure: ingress.Violation | ingress.NoMemory) -> None:
+    def _reject(self, failure: ingress.Rejection) -> None:
         if self._closed is not None:
             return
         self._close_input(ingress.CloseReason.REJECTED)
--- a/berylweir/gateway/ingress/rejections.py
+++ b/berylweir/gateway/ingress/rejections.py
@@ -13,6 +13,8 @@
 # Retry-After if there is no memory for the body of a request, in seconds. Other
 # requests end meanwhile.
 _NO_MEMORY_RETRY_AFTER_S = 1.0
+# Retry-After while this VM stops, in seconds. Other VMs can take the request.
+_STOPPING_RETRY_AFTER_S = 0.1
 
 
 class RejectionWriter:
@@ -32,7 +34,7 @@
 
     def write(
         self,
-        failure: ingress.Violation | ingress.NoMemory,
+        failure: ingress.Rejection,
         answers: writer.AnswerWriter,
     ) -> None:
         """Writes the answer to a rejected request.
@@ -46,6 +48,8 @@
                 self._write_violation(failure, answers)
             case ingress.NoMemory():
                 self._write_no_memory(failure, answers)
+            case ingress.Interrupted():
+                self._write_interrupted(failure, answers)
             case _:
                 typing.assert_never(failure)
 
@@ -78,3 +82,19 @@
                 failure.request_id, _NO_MEMORY_RETRY_AFTER_S
             ),
         )
+
+    def _write_interrupted(
+        self, failure: ingress.Interrupted, answers: writer.AnswerWriter
+    ) -> None:
+        """Answers 503: no server has run the request or will run it later."""
+        self._metrics.count("gateway.interrupted")
+        _LOGGER.warning(
+            "request interrupted by the stop",
+            extra={"request": failure.request_id},
+        )
+        answers.write_last(
+            503,
+            requests.encode_error_headers(
+                failure.request_id, _STOPPING_RETRY_AFTER_S
+            ),
+        )
--- a/berylweir/gateway/ingress/task.py
+++ b/berylweir/gateway/ingress/task.py
@@ -226,7 +226,7 @@
                 connection.check_timeouts(loop.time())
 
     async def _drain(self, server: asyncio.Server) -> None:
-        """Closes all connections without interrupting a request.
+        """Closes all connections; only the last moment interrupts requests.
 
         The load balancer opens new connections until its readiness check has
         failed twice; these are served too.
@@ -235,9 +235,8 @@
         started_s = loop.time()
         deadline_s = started_s + self._bounds.grace_s - _SHUTDOWN_MARGIN_S
         accept_s = min(_ACCEPT_S, deadline_s - started_s)
-        self._request_handler.begin_stop(
-            stopping.Stopping(started_s + accept_s, deadline_s)
-        )
+        stop = stopping.Stopping(started_s + accept_s, deadline_s)
+        self._request_handler.begin_stop(stop)
         for connection in tuple(self._connections):
             connection.announce_close()
         await asyncio.sleep(accept_s)
@@ -250,6 +249,8 @@
         while self._connections and loop.time() < deadline_s:
             for connection in tuple(self._connections):
                 connection.finish()
+                if loop.time() >= stop.last_answers_s:
+                    connection.interrupt_receiving()
             await asyncio.sleep(_CLOSE_INTERVAL_S)
         _LOGGER.info(
             "ingress closed",
--- a/tests/gateway/test_stop.py
+++ b/tests/gateway/test_stop.py
@@ -259,6 +259,31 @@
             assert await caller.reader.read() == b""
             await stop_task
 
+    async def test_incomplete_upload_is_refused(self):
+        """Guards against a caller that sends to a process that ends."""
+        async with start_deployment(
+            service_s=0.0, kind="unsafe", timeout_ms=_LONG_TIMEOUT_MS
+        ) as (deployment, gateway):
+            caller = await gateway.connect()
+            caller.send(
+                "/r/1",
+                "a1",
+                method="POST",
+                deadline_ms=_LONG_TIMEOUT_MS,
+                headers="Content-Length: 99\r\n",
+            )
+            await asyncio.sleep(0.1)
+            stop_task = asyncio.create_task(gateway.stop())
+            for _ in range(4):
+                await asyncio.sleep(1.0)
+                caller.writer.write(b"x")
+            async with asyncio.timeout(_LONG_TIMEOUT_MS / 1000.0):
+                reply = await caller.read()
+            assert_refused(reply)
+            assert reply.headers["request-id"] == "a1"
+            await stop_task
+            assert run_ids(deployment) == []
+
     async def test_download_that_is_being_written_goes_on(self):
         """Guards against ending a download before the process ends."""
         async with start_deployment(
