Limit requests by the deadlines of dropped ones behind them

Callers saw: 2.8 s after SIGTERM, a request on a connection with requests in it is read and dropped. Its caller doesn't know, leaves at its deadline and loses the ready answers in front of it.

Cause: the time of the oldest request is limited by the deadlines behind it, but a dropped request never got into the queue.

Change: the queue keeps the shortest deadline of dropped requests, and limits the oldest request by it as by any other. What was sent to a server isn't given up in a stop, as before.

Tests: test_request_that_is_dropped_late_in_a_stop_counts (the caller got none of two answers before) and test_dropped_request_limits_those_in_front_of_it failed before; both pass now, with test_pipelining.py and test_request_queue.py.

--- a/berylweir/gateway/ingress/protocol.py
+++ b/berylweir/gateway/ingress/protocol.py
@@ -218,6 +218,10 @@
                 return
         if self._closed is not None:
             self._record_crossed_close(head, self._closed)
+            if head.deadline_ms is not None:
+                self._queue.limit_by_dropped(
+                    received_s + head.deadline_ms / 1000.0
+                )
             return
         header_bytes = len(self._url) + sum(
             len(n) + len(v) for n, v in self._headers
--- a/berylweir/gateway/ingress/request_queue.py
+++ b/berylweir/gateway/ingress/request_queue.py
@@ -11,12 +11,14 @@
     """Requests that have been received and have no complete answer.
 
     The time of the oldest request is limited by the deadlines of those behind
-    it, since their answers wait for its answer.
+    it, since their answers wait for its answer. Its caller leaves at the
+    deadlines of requests that were dropped, too.
     """
 
     def __init__(self) -> None:
         """Creates an empty queue."""
         self._entries: collections.deque[ingress.Entry] = collections.deque()
+        self._dropped_deadline_s = math.inf
 
     def __len__(self) -> int:
         """Returns the number of requests."""
@@ -47,7 +49,8 @@
     def remove_oldest(self) -> None:
         """Removes the oldest request, whose answer has been written."""
         self._entries.popleft()
-        if len(self._entries) > 1:
+        is_limited = self._dropped_deadline_s < math.inf
+        if len(self._entries) > 1 or (self._entries and is_limited):
             self._limit_oldest(
                 min(
                     (
@@ -59,6 +62,16 @@
                 )
             )
 
+    def limit_by_dropped(self, deadline_s: float) -> None:
+        """Makes room for the answers in front of a request that is dropped.
+
+        Args:
+            deadline_s: When its caller leaves, on the loop's clock, in seconds.
+        """
+        self._dropped_deadline_s = min(self._dropped_deadline_s, deadline_s)
+        if self._entries:
+            self._limit_oldest(math.inf)
+
     def clear(self) -> list[ingress.PendingRequest]:
         """Removes all entries, and returns those that weren't rejected."""
         pending = [
@@ -70,4 +83,4 @@
     def _limit_oldest(self, next_deadline_s: float) -> None:
         oldest = self._entries[0]
         if isinstance(oldest, ingress.PendingRequest):
-            oldest.limit_answer(next_deadline_s)
+            oldest.limit_answer(min(next_deadline_s, self._dropped_deadline_s))
--- a/tests/gateway/ingress/test_pipelining.py
+++ b/tests/gateway/ingress/test_pipelining.py
@@ -98,6 +98,30 @@
             caller.writer.close()
             await stop_task
 
+    async def test_request_that_is_dropped_late_in_a_stop_counts(self):
+        """Guards against a caller that leaves because of a dropped request."""
+        async with rig.Rig() as deployment:
+            await deployment.configure(
+                {"ownerless": True, "fast": False},
+                [
+                    rig.route("ownerless", "ownerless", goal_ms=_LONG_MS),
+                    rig.route("fast", "fast"),
+                ],
+            )
+            await deployment.add_server("s0", "fast", service_s=0.0)
+            gateway = await deployment.add_gateway()
+            caller = await gateway.connect()
+            stop_task = asyncio.create_task(gateway.stop())
+            await asyncio.sleep(2.5)
+            caller.send("/ownerless/1", "a1", headers="Shard-Key: 7\r\n")
+            caller.send("/fast/1", "a2")
+            await asyncio.sleep(0.6)
+            caller.send("/fast/2", "a3", deadline_ms=_SHORT_MS)
+            replies = await read_until(caller, _SHORT_MS / 1000.0)
+            assert [r.status for r in replies] == [503, 200]
+            caller.writer.close()
+            await stop_task
+
     async def test_request_received_before_the_configuration_is_limited(
         self, monkeypatch
     ):
--- a/tests/gateway/ingress/test_request_queue.py
+++ b/tests/gateway/ingress/test_request_queue.py
@@ -48,6 +48,16 @@
         queue.remove_oldest()
         assert limits[3] == []
 
+    def test_dropped_request_limits_those_in_front_of_it(self):
+        """Guards against a caller that leaves because of a dropped request."""
+        queue = request_queue.RequestQueue()
+        limits: list[list[float]] = [[], []]
+        for recorded in limits:
+            queue.append(RecordedLimits(9000, recorded))
+        queue.limit_by_dropped(3.0)
+        queue.remove_oldest()
+        assert limits == [[9.0, 3.0], [3.0]]
+
     def test_each_request_costs_the_same(self):
         """Guards against a long series that keeps the event loop busy."""
         queue = request_queue.RequestQueue()
