Name the caller in the record of requests that it left late in a stop

Cause: the end of a connection was ascribed to the gateway as soon as it took no further requests, though it goes on answering those that it has.

Change: the gateway counts as the closer only if it drops the requests behind an answer that ends the connection, or aborts the connection. An abort is recorded with its own reason also in a stop.

Test: test_caller_that_leaves_late_in_a_stop_is_recorded recorded gateway_running and gateway_ready before, and caller_running and caller_ready now; tests/gateway/ingress passes.

--- a/berylweir/gateway/ingress/protocol.py
+++ b/berylweir/gateway/ingress/protocol.py
@@ -97,6 +97,7 @@
         self._idle_since_s = self._loop.time()
         self._closed: ingress.Closed | None = None
         self._is_closing = False
+        self._is_aborted = False
         self._requested_close: ingress.CloseReason | None = None
         self._is_parsable = True
         # Bytes that wait until the queue has room.
@@ -164,7 +165,8 @@
         self._resume_writing()
         if self._task is not None:
             self._task.cancel()
-        self._drop_requests()
+        # A caller may leave while its last requests are still handled.
+        self._drop_requests(self._closed if self._is_aborted else None)
 
     def pause_writing(self) -> None:
         """Stops writing while the caller reads more slowly than we write."""
@@ -368,7 +370,10 @@
 
     def abort(self) -> None:
         """Closes the connection at once; buffered data is lost."""
-        self._close_input(ingress.CloseReason.BROKEN)
+        self._is_aborted = True
+        self._closed = ingress.Closed(
+            ingress.CloseReason.BROKEN, self._loop.time()
+        )
         if self._transport is not None:
             self._transport.abort()
 
@@ -457,7 +462,7 @@
         self._queue.remove_oldest()
         entry.stack.close()
         if closes_connection:
-            self._drop_requests()
+            self._drop_requests(self._closed)
             return False
         self._idle_since_s = self._loop.time()
         if self._is_reading_paused and len(self._queue) < _MAX_PIPELINED // 2:
@@ -533,11 +538,16 @@
             self._incoming.stack.close()
             self._incoming = None
 
-    def _drop_requests(self) -> None:
-        """Cancels and records all requests without a complete answer."""
+    def _drop_requests(self, close: ingress.Closed | None) -> None:
+        """Cancels and records all requests without a complete answer.
+
+        Args:
+            close: How the gateway closed the connection; None if the caller
+                did.
+        """
         pending = self._queue.clear()
         self._unanswered.record_all(
-            pending, self._incoming, self._closed, self._loop.time()
+            pending, self._incoming, close, self._loop.time()
         )
         for entry in pending:
             entry.drop()
--- a/tests/gateway/ingress/test_unanswered.py
+++ b/tests/gateway/ingress/test_unanswered.py
@@ -68,6 +68,23 @@
         (abandoned,) = (r for r in caplog.records if r.message == "abandoned")
         assert (abandoned.request, abandoned.sent_to) == ("a1", "s0")
 
+    async def test_caller_that_leaves_late_in_a_stop_is_recorded(self):
+        """Guards against blaming the gateway for a caller that left."""
+        async with start_deployment() as (deployment, gateway, caller):
+            stop_task = asyncio.create_task(gateway.stop())
+            await asyncio.sleep(2.0)
+            caller.send("/slow/1", "a1")
+            caller.send("/fast/1", "a2")
+            await rig.until(lambda: bool(deployment.servers["s1"].executions))
+            await asyncio.sleep(1.2)
+            caller.writer.close()
+            await rig.until(lambda: len(unanswered(gateway)) == 2)
+            assert unanswered(gateway) == {
+                "caller_running": 1,
+                "caller_ready": 1,
+            }
+            await stop_task
+
     async def test_request_behind_the_last_answer_is_recorded(self):
         """Guards against dropping a request without a trace."""
         async with start_deployment() as (deployment, gateway, caller):
