--- a/berylweir/gateway/ingress/protocol.py
+++ b/berylweir/gateway/ingress/protocol.py
@@ -97,6 +97,7 @@
         self._idle_since_s = self._loop.time()
         self._closed: ingress.Closed | None = None
         self._is_closing = False
+        self._is_aborted = False
         self._requested_close: ingress.CloseReason | None = None
         self._is_parsable = True
         # Bytes that wait until the queue has room.
@@ -164,7 +165,8 @@
         self._resume_writing()
         if self._task is not None:
             self._task.cancel()
-        self._drop_requests()
+        # A caller may leave while its last requests are still handled.
+        self._drop_requests(self._closed if self._is_aborted else None)
 
     def pause_writing(self) -> None:
         """Stops writing while the caller reads more slowly than we write."""
@@ -218,6 +220,10 @@
                 return
         if self._closed is not None:
             self._record_crossed_close(head, self._closed)
+            if head.deadline_ms is not None:
+                self._queue.limit_by_dropped(
+                    received_s + head.deadline_ms / 1000.0
+                )
             return
         header_bytes = len(self._url) + sum(
             len(n) + len(v) for n, v in self._headers
@@ -345,6 +351,16 @@
             self._close_input(ingress.CloseReason.STOPPING)
         self._request_close(ingress.CloseReason.STOPPING)
 
+    def interrupt_receiving(self) -> None:
+        """Refuses a request that is still being received."""
+        if self._last_progress_s is not None:
+            incoming = self._incoming
+            self._reject(
+                ingress.Interrupted(
+                    incoming.head.request_id if incoming else ""
+                )
+            )
+
     def _request_close(self, reason: ingress.CloseReason) -> None:
         """Closes the connection unless a request arrives first."""
         self._is_closing = True
@@ -354,7 +370,10 @@
 
     def abort(self) -> None:
         """Closes the connection at once; buffered data is lost."""
-        self._close_input(ingress.CloseReason.BROKEN)
+        self._is_aborted = True
+        self._closed = ingress.Closed(
+            ingress.CloseReason.BROKEN, self._loop.time()
+        )
         if self._transport is not None:
             self._transport.abort()
 
@@ -407,7 +426,11 @@
         match self._queue.oldest:
             case ingress.PendingRequest() as entry:
                 return await self._answer_request(entry)
-            case ingress.Violation() | ingress.NoMemory() as failure:
+            case (
+                ingress.Violation()
+                | ingress.NoMemory()
+                | ingress.Interrupted() as failure
+            ):
                 if self._writer is not None:
                     self._rejections.write(failure, self._writer)
                 return False
@@ -439,7 +462,7 @@
         self._queue.remove_oldest()
         entry.stack.close()
         if closes_connection:
-            self._drop_requests()
+            self._drop_requests(self._closed)
             return False
         self._idle_since_s = self._loop.time()
         if self._is_reading_paused and len(self._queue) < _MAX_PIPELINED // 2:
@@ -481,7 +504,7 @@
         if not self._is_reading_paused and self._transport is not None:
             self._transport.resume_reading()
 
-    def _reject(self, failure: ingress.Violation | ingress.NoMemory) -> None:
+    def _reject(self, failure: ingress.Rejection) -> None:
         if self._closed is not None:
             return
         self._close_input(ingress.CloseReason.REJECTED)
@@ -515,11 +538,16 @@
             self._incoming.stack.close()
             self._incoming = None
 
-    def _drop_requests(self) -> None:
-        """Cancels and records all requests without a complete answer."""
+    def _drop_requests(self, close: ingress.Closed | None) -> None:
+        """Cancels and records all requests without a complete answer.
+
+        Args:
+            close: How the gateway closed the connection; None if the caller
+                did.
+        """
         pending = self._queue.clear()
         self._unanswered.record_all(
-            pending, self._incoming, self._closed, self._loop.time()
+            pending, self._incoming, close, self._loop.time()
         )
         for entry in pending:
             entry.drop()
