Close checks that are idle at a stop without a reset

A client whose connection for readiness checks was idle when the gateway stopped got a reset, since the connections are aborted at a stop.

Only connections with an unsent response are aborted now, which would otherwise delay the stop; the others are closed.

tests/gateway/ingress/test_probes.py, which accepted a reset before, now requires the regular end of the connection.

--- a/berylweir/gateway/ingress/probes.py
+++ b/berylweir/gateway/ingress/probes.py
@@ -58,7 +58,10 @@
         # Lets the tasks of connections that were just accepted start.
         await asyncio.sleep(0)
         for writer in self._connections.values():
-            writer.transport.abort()
+            if writer.transport.get_write_buffer_size():
+                writer.transport.abort()
+            else:
+                writer.close()
         if self._connections:
             await asyncio.wait(tuple(self._connections))
 
--- a/tests/gateway/ingress/test_probes.py
+++ b/tests/gateway/ingress/test_probes.py
@@ -30,10 +30,7 @@
     await runner.stop()
     remainders = []
     for reader, writer in ((idle_reader, idle), (served_reader, served)):
-        try:
-            remainders.append(await reader.read())
-        except ConnectionResetError:
-            remainders.append(b"")
+        remainders.append(await reader.read())
         writer.close()
     return remainders
 
