Close the connections of callers that a failed test leaves open

test_requests_are_not_used_as_probes failed once because a StreamWriter was collected after its event loop had closed, beside a failure of the same file.

A test that fails, or whose readiness check gives up, left its connections open. The garbage collector then closed their writers during a later test, on a loop that had ended, and that test failed.

The test deployment now aborts the connections of all its callers at its end, and the readiness check closes its connection in any case. It also takes a reset for not ready.

--- a/tests/gateway/rig.py
+++ b/tests/gateway/rig.py
@@ -65,9 +65,13 @@
         reader, writer = await asyncio.open_connection(*address)
     except OSError:
         return False
-    writer.write(b"GET /berylweir/readyz HTTP/1.1\r\nHost: x\r\n\r\n")
-    line = await reader.readline()
-    writer.close()
+    try:
+        writer.write(b"GET /berylweir/readyz HTTP/1.1\r\nHost: x\r\n\r\n")
+        line = await reader.readline()
+    except ConnectionError:
+        return False
+    finally:
+        writer.close()
     return b" 200 " in line
 
 
@@ -169,6 +173,7 @@
     def __init__(self, environment: models.Environment) -> None:
         self.environment = environment
         self.metrics = counters.Counters()
+        self._callers: list[Caller] = []
         self._stack = contextlib.AsyncExitStack()
         self._context = supervision_models.ChildContext(self._stack)
         root = supervisor.build(
@@ -196,10 +201,19 @@
         await self._stack.aclose()
 
     async def connect(self) -> Caller:
-        """Opens a connection as a caller."""
-        return Caller(
+        """Opens a connection as a caller, which `disconnect` closes."""
+        caller = Caller(
             *await asyncio.open_connection(*self.environment.caller_address)
         )
+        self._callers.append(caller)
+        return caller
+
+    def disconnect(self) -> None:
+        """Aborts the connections of all callers that are still open."""
+        for caller in self._callers:
+            if not caller.writer.transport.is_closing():
+                caller.writer.transport.abort()
+        self._callers.clear()
 
     async def ask(self, path: str, request_id: str, **options) -> Reply | None:
         """Sends one request on a connection of its own."""
@@ -277,7 +291,9 @@
         return connection
 
     async def __aexit__(self, *_: object) -> None:
-        """Stops the gateways and servers."""
+        """Stops the gateways and servers, and disconnects all callers."""
+        for gateway in self.gateways:
+            gateway.disconnect()
         await asyncio.gather(*(g.kill() for g in self.gateways))
         await self._stack.aclose()
 
