Log no error for a receive that ends with its socket at a stop

Planned stops of routers, keepers and gateways sometimes logged an error: "unhandled exception during asyncio.run() shutdown", with pynng's Closed.

A cancelled operation on a pynng socket goes on in a task of its own until the socket is closed, and ends with an exception then. If that was after the last child had ended, asyncio found the task at its shutdown, and logs any exception of such a task, whether it was retrieved or not.

An abandoned operation now ends without an exception.

--- a/berylweir/peers/sockets.py
+++ b/berylweir/peers/sockets.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from collections.abc import Coroutine
+import typing
 from typing import Any
 from typing import TypeVar
 
@@ -39,20 +40,25 @@
     # After a cancellation, pynng waits until the operation has ended, which
     # doesn't always happen, so the cancelled task would hang. The operation
     # runs in a task of its own instead, which ends when the socket is closed.
-    operation_task = asyncio.ensure_future(operation)
+    is_abandoned = False
+
+    async def run() -> _T | None:
+        try:
+            return await operation
+        except pynng.NNGException:
+            if is_abandoned:
+                # At its shutdown, asyncio logs an exception of any task.
+                return None
+            raise
+
+    operation_task = asyncio.ensure_future(run())
     try:
-        return await asyncio.shield(operation_task)
+        return typing.cast(_T, await asyncio.shield(operation_task))
     except asyncio.CancelledError:
         if operation_task.cancelled():
             # The operation was cancelled by the socket, not by the caller.
             raise ConnectionAbortedError(
                 "operation cancelled by the socket"
             ) from None
-        operation_task.add_done_callback(_ignore_result)
+        is_abandoned = True
         raise
-
-
-def _ignore_result(task: asyncio.Future[Any]) -> None:
-    """Retrieves the exception of a task, so that asyncio doesn't log it."""
-    if not task.cancelled():
-        task.exception()
