Refuse numbers in leases and key tables that can't be passed on

What operators would see: a gateway whose messages can't be encoded, if the lease or a key table in the store has an epoch, a token or a time above 64 bits; with a negative one, or a key out of range, a table that can't be in force.

Cause: these fields were any integers.

Change: they are bounded where the objects are decoded, so that such an object is undecodable, is skipped with a log line, and the last good one stays in force.

Tests: each recorded object and message, with each field left out or replaced by an odd value, is decoded or is a typed error.

Measured: pytest tests/upgrades -k odd: 7 failed before (OverflowError for the status of a gateway; tables taken), 12 pass; tests/upgrades, tests/platform, tests/gateway/ownership, test_restored_store.py, test_odd_entries.py, tests/ctl: no failure.

--- a/berylweir/platform/objects.py
+++ b/berylweir/platform/objects.py
@@ -37,6 +37,10 @@
 _MAX_SLOTS = 100_000
 # Longest warm-up time of a server that is taken for possible, in ms.
 MAX_COLD_MS = 3_600_000.0
+# Numbers that are passed on in messages and to servers. Higher ones can't be
+# encoded.
+_Counter = Annotated[int, msgspec.Meta(ge=0, le=2**63 - 1)]
+_Key = Annotated[int, msgspec.Meta(ge=0, lt=models.KEY_COUNT)]
 
 
 class _SplitPart(msgspec.Struct):
@@ -252,23 +256,23 @@
 class _LeaseSpec(msgspec.Struct):
     holder: str
     incarnation: str
-    epoch: int
+    epoch: _Counter
 
 
 class _RangeSpec(msgspec.Struct, array_like=True):
-    first: int
-    last: int
+    first: _Key
+    last: _Key
     server: str | None
-    born_ms: int
-    token: int
+    born_ms: _Counter
+    token: _Counter
     former_server: str | None = None
-    former_born_ms: int = 0
+    former_born_ms: _Counter = 0
 
 
 class _TableSpec(msgspec.Struct):
     group: str
-    epoch: int
-    next_token: int
+    epoch: _Counter
+    next_token: _Counter
     ranges: list[_RangeSpec]
 
 
--- a/tests/upgrades/test_contract.py
+++ b/tests/upgrades/test_contract.py
@@ -14,6 +14,7 @@
 from berylweir.gateway.peers import exceptions
 from berylweir.gateway.peers import messages
 from berylweir.gateway.peers import task as peers
+from berylweir.gateway.suspects import codec as suspects
 from berylweir.observability import counters
 from berylweir.platform import objects
 from berylweir.platform import store
@@ -105,9 +106,80 @@
         assert isinstance(table.ok_value, models.KeyTable)
 
 
+def stored_object(name, spec):
+    """Returns an object of the store."""
+    return store.build_stored_object(
+        name, 5, msgspec.Raw(json.dumps(spec).encode()), msgspec.Raw(b"null")
+    )
+
+
+def odd_forms(spec, highest):
+    """Yields an object or a message without each field, or with odd ones.
+
+    Args:
+        spec: The fields by name.
+        highest: Highest number that the encoding allows.
+    """
+    for name in spec:
+        yield {n: v for n, v in spec.items() if n != name}
+        for value in (None, "odd", -1, 1.5, highest, [], [None], {}, {"": 1}):
+            yield {**spec, name: value}
+
+
 class TestNewerBuilds:
     """Objects that only a far newer build, or another writer, has written."""
 
+    @pytest.mark.parametrize("build", _BUILDS, ids=_IDS)
+    def test_odd_object_ends_its_reader(self, build):
+        """Guards against tasks that fail on the object of another build."""
+        for kind, decode in (
+            ("vm.a", objects.decode_gateway_object),
+            ("lease", objects.decode_gateway_object),
+            ("g", objects.decode_table),
+        ):
+            names = {"vm.a": "Vm", "lease": "Lease", "g": "KeyTable"}
+            spec = json.loads(build["objects"][names[kind]])
+            for odd in odd_forms(spec, 2**70):
+                decoded = decode(stored_object(kind, odd))
+                match decoded:
+                    case result.Ok(models.Lease(epoch=epoch)):
+                        status = messages.GatewayStatus("run", epoch, False)
+                    case result.Ok(models.KeyTable(epoch=epoch)):
+                        status = messages.GatewayStatus(
+                            "run", 1, False, table_epochs={"g": epoch}
+                        )
+                    case _:
+                        continue
+                assert messages.encode(status)
+
+    @pytest.mark.parametrize("number", [-1, 2**70])
+    def test_odd_number_in_a_key_table(self, number):
+        """Guards against tokens that can't be sent to servers."""
+        table = {"group": "g", "epoch": 1, "next_token": 2}
+        good = [0, 5, "s", 1, 1]
+        stored = stored_object("g", {**table, "ranges": [good]})
+        assert isinstance(objects.decode_table(stored), result.Ok)
+        for index in (0, 1, 3, 4):
+            odd = [*good[:index], number, *good[index + 1 :]]
+            stored = stored_object("g", {**table, "ranges": [odd]})
+            assert isinstance(objects.decode_table(stored), result.Err)
+
+    @pytest.mark.parametrize("build", _BUILDS, ids=_IDS)
+    def test_odd_message_ends_its_reader(self, build):
+        """Guards against tasks that fail on the message of another build."""
+        for text in build["messages"].values():
+            message = msgspec.msgpack.decode(base64.b64decode(text))
+            for odd in odd_forms(message, 2**64 - 1):
+                data = msgspec.msgpack.encode(odd)
+                for decode in (messages.decode_request, messages.decode_reply):
+                    match decode(data):
+                        case result.Ok(messages.ReportUsage() as usage):
+                            messages.decode_usage(usage)
+                        case result.Ok(messages.Findings() as findings):
+                            suspects.decode_findings(findings)
+                        case result.Ok() | result.Err():
+                            pass
+
     @pytest.mark.parametrize("host", ["::1", "", "a\0b"])
     async def test_address_of_another_kind_ends_the_caller(self, host):
         """Guards against gateways that fail on the object of one VM."""
