Check what the last three landings can read

What this build writes is decoded by the programs of themselves, from the history; where that is shallow, the test says that it didn't run.

It told the builds apart by whether they state an id; both do now, so it asserts that two ids appear.

--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -1,9 +1,7 @@
 """Short soaks of the gateway programs."""
 
-import io
+import json
 import pathlib
-import subprocess
-import tarfile
 
 import pytest
 
@@ -12,6 +10,7 @@
 from berylweir.soak import planned_series
 from berylweir.soak import rollouts
 from berylweir.soak import runner
+from tests import checkouts
 
 _SECONDS = 14.0
 # Length of the soaks that check what servers say of themselves, in seconds.
@@ -33,25 +32,6 @@
 )
 
 
-_ROOT = pathlib.Path(__file__).parents[2]
-
-
-def check_out(commit: str, directory: pathlib.Path) -> bool:
-    """Writes the files of a commit; returns whether the history has it."""
-    directory.mkdir()
-    archive = subprocess.run(
-        ["git", "archive", commit, "berylweir", "pyproject.toml"],
-        cwd=_ROOT,
-        capture_output=True,
-        check=False,
-    )
-    if archive.returncode != 0:
-        return False
-    with tarfile.open(fileobj=io.BytesIO(archive.stdout)) as files:
-        files.extractall(directory, filter="data")
-    return True
-
-
 class TestSoak:
     """The programs as processes, with faults between and around them."""
 
@@ -107,16 +87,14 @@
 class TestRollouts:
     """Changes of the build amid the other faults."""
 
-    # The landing before this one.
-    _PREVIOUS_BUILD = "0254d82"
-
     async def test_fleet_of_two_builds_breaks_promises(
         self, tmp_path: pathlib.Path
     ):
         """Guards against builds that can't run side by side."""
         previous = tmp_path / "previous"
-        if not check_out(self._PREVIOUS_BUILD, previous):
-            pytest.skip(f"the history has no commit {self._PREVIOUS_BUILD}")
+        commit = checkouts.LANDINGS[0]
+        if not checkouts.check_out(commit, previous):
+            pytest.skip(f"the history has no commit {commit}")
         logs = tmp_path / "logs"
         logs.mkdir()
         soak = runner.Soak(
@@ -124,17 +102,16 @@
             _STATEMENT_SECONDS,
             logs,
             has_rollouts=True,
-            builds=(previous, _ROOT),
+            builds=(previous, checkouts.ROOT),
         )
         assert await soak.run() == []
-        started = [
-            line
+        builds = {
+            json.loads(line)["build"]
             for path in sorted(logs.glob("*.log"))
             for line in path.read_text(encoding="utf-8").splitlines()
             if '"message":"started"' in line
-        ]
-        assert any('"build"' in line for line in started)
-        assert any('"build"' not in line for line in started)
+        }
+        assert len(builds) == 2
 
     def test_equal_seeds_generate_other_rollouts(self):
         """Guards against a failure that its seed doesn't reproduce."""
--- a/tests/upgrades/record.py
+++ b/tests/upgrades/record.py
@@ -14,6 +14,7 @@
 
 import msgspec
 
+from berylweir.crash_suspects import quarantine
 from berylweir.gateway import models
 from berylweir.gateway.peers import messages
 from berylweir.platform import objects
@@ -60,6 +61,7 @@
         models.Vm: objects.encode_vm,
         models.Lease: objects.encode_lease,
         models.KeyTable: objects.encode_table,
+        quarantine.Entry: objects.encode_quarantine_entry,
     }
     return {
         "messages": {
@@ -74,9 +76,13 @@
 
 
 def field_lists() -> dict[str, list[str]]:
-    """Returns the fields of each message, and of its parts, in their order."""
+    """Returns the fields of each message and object, and of their parts.
+
+    What the platform writes into the store isn't part of it.
+    """
     fields: dict[str, list[str]] = {}
-    for kind in vars(messages).values():
+    written = [v for n, v in vars(objects).items() if n.endswith("Spec")]
+    for kind in (*vars(messages).values(), *written):
         if isinstance(kind, type) and issubclass(kind, msgspec.Struct):
             hints = typing.get_type_hints(kind)
             fields[kind.__name__] = [
@@ -89,7 +95,9 @@
 
 def _describe(hint: typing.Any) -> str:
     text = str(hint) if typing.get_args(hint) else hint.__name__
-    return text.replace("berylweir.gateway.peers.messages.", "")
+    for module in (messages, objects):
+        text = text.replace(f"{module.__name__}.", "")
+    return text
 
 
 def _to_text(data: bytes) -> str:
--- a/tests/upgrades/test_contract.py
+++ b/tests/upgrades/test_contract.py
@@ -3,13 +3,17 @@
 import asyncio
 import base64
 import json
+import os
 import pathlib
+import subprocess
+import sys
 
 import msgspec
 import pynng
 import pytest
 import result
 
+from berylweir.crash_suspects import quarantine
 from berylweir.gateway import models
 from berylweir.gateway.peers import exceptions
 from berylweir.gateway.peers import messages
@@ -18,6 +22,7 @@
 from berylweir.observability import counters
 from berylweir.platform import objects
 from berylweir.platform import store
+from tests import checkouts
 from tests.gateway import rig
 from tests.upgrades import record
 
@@ -104,6 +109,31 @@
         assert isinstance(lease, models.Lease)
         table = objects.decode_table(stored("g", build["objects"]["KeyTable"]))
         assert isinstance(table.ok_value, models.KeyTable)
+        if "Entry" in build["objects"]:
+            name = "quarantine.0000000000000007"
+            entry = objects.decode_gateway_object(
+                stored(name, build["objects"]["Entry"])
+            )
+            assert isinstance(entry.ok_value, quarantine.Entry)
+
+    def test_rollback_meets_what_this_build_writes(self, tmp_path):
+        """Guards against builds that can't be rolled back to the last ones."""
+        written = record.record()
+        names = [*written["messages"], *written["objects"]]
+        for commit in checkouts.LANDINGS:
+            tree = tmp_path / commit
+            if not checkouts.check_out(commit, tree):
+                pytest.skip(f"the history has no commit {commit}")
+            read = subprocess.run(
+                [sys.executable, str(_DIRECTORY / "decode.py")],
+                input=json.dumps(written),
+                cwd=tree,
+                env={**os.environ, "PYTHONPATH": str(tree)},
+                capture_output=True,
+                text=True,
+                check=True,
+            )
+            assert json.loads(read.stdout) == {name: name for name in names}
 
 
 def stored_object(name, spec):
