Upgrade a stand-in fleet once with make run

make run UPGRADE=1 PREVIOUS=TREE starts three gateways of the build in TREE, has callers send requests, replaces one gateway after the other with this build, the lease holder last, and prints what the callers saw.

--- a/Makefile
+++ b/Makefile
@@ -12,6 +12,8 @@
 
 run: $(STAMP)
 	$(BIN)/python -m berylweir.demo
+	$(if $(UPGRADE),$(BIN)/python -m berylweir.soak.upgrade \
+	  $(if $(PREVIOUS),--previous $(PREVIOUS)))
 
 test: $(STAMP)
 	$(BIN)/python -m pytest
