Test which responses count and statements of whole groups

Guards without a fault: statements in responses that break off, are unsigned or fail count, those of another server, of a duplicate or in half a head don't; a key of a paused owner is refused at once; half of a group paused in a burst, all servers limited to 0 or 0.2, a limit of 1e9, and one that comes and goes.

The test of a forwarded stream read the gauges before it waited for them, so it depended on the order of two tasks; it reads them again each time.

--- a/tests/gateway/test_forwarding.py
+++ b/tests/gateway/test_forwarding.py
@@ -223,9 +223,11 @@
             caller = await gateway.connect()
             caller.send("/r/1", "a", deadline_ms=20_000)
             await caller.reader.readuntil(b"\r\n\r\n")
-            gauges = gateway.metrics.gauges
             await rig.until(
-                lambda: gauges.get("gateway.servers_leaving") == 1, 1.5
+                lambda: (
+                    gateway.metrics.gauges.get("gateway.servers_leaving") == 1
+                ),
+                1.5,
             )
             caller.writer.close()
 
--- a/tests/gateway/test_server_statements.py
+++ b/tests/gateway/test_server_statements.py
@@ -150,6 +150,177 @@
             assert reply.headers.get("retry-after") == expected
 
 
+_LEAVING = {"Request-Id": "a", "Server-Leaving": "1"}
+_DUPLICATE = (
+    b"HTTP/1.1 200 -\r\nRequest-Id: earlier\r\nResponse-Seal: x\r\n"
+    b"Server-Leaving: 1\r\nContent-Length: 0\r\n\r\n"
+)
+
+
+class TestFaultyResponses:
+    """Which faulty responses say something of the server."""
+
+    @pytest.mark.parametrize(
+        ("response", "is_heeded"),
+        [
+            pytest.param(
+                http.Response(
+                    200,
+                    {**_LEAVING, "Response-Seal": "x"},
+                    bytes(1000),
+                    is_truncated=True,
+                ),
+                True,
+                id="broken off",
+            ),
+            pytest.param(http.Response(200, _LEAVING), True, id="unsigned"),
+            pytest.param(http.Response(500, _LEAVING), True, id="failure"),
+            pytest.param(
+                http.Response(421, {**_LEAVING, "Not-Run": "1"}),
+                False,
+                id="another server",
+            ),
+            pytest.param(
+                http.Response(
+                    200,
+                    {"Request-Id": "a", "Response-Seal": "x"},
+                    trailing_bytes=_DUPLICATE,
+                ),
+                False,
+                id="duplicate",
+            ),
+            pytest.param(
+                http.Response(
+                    200,
+                    {**_LEAVING, "Response-Seal": "x"},
+                    bytes(1000),
+                    is_head_truncated=True,
+                ),
+                False,
+                id="head broken off",
+            ),
+        ],
+    )
+    async def test_statement_is_heeded(self, response, is_heeded):
+        """Guards against heeding another server, or not the right one."""
+        async with rigs.Rig() as rig:
+            await rig.configure(
+                {"g": False}, [rigs.route("r", "g", attempts=1)]
+            )
+            server = await rig.add_server("s1", "g")
+            server.next_responses = [response]
+            gateway = await rig.add_gateway()
+            await gateway.ask("/r/x", "a")
+            for number in range(5):
+                await gateway.ask("/r/x", f"b{number}")
+            leaving = gateway.metrics.gauges.get("gateway.servers_leaving", 0)
+            assert leaving == is_heeded
+
+
+class TestGroups:
+    """Statements of all servers of a group, or of half of them, at once."""
+
+    async def ask_all(self, gateway: rigs.Gateway, count: int, **options):
+        """Sends requests at intervals and returns the replies."""
+        tasks = []
+        for number in range(count):
+            tasks.append(
+                asyncio.create_task(
+                    gateway.ask("/r/x", f"q{number}", **options)
+                )
+            )
+            await asyncio.sleep(0.01)
+        return await asyncio.gather(*tasks)
+
+    async def test_key_of_a_paused_owner_is_not_refused_at_once(self):
+        """Guards against callers that wait for a pause past their deadline."""
+        async with rigs.Rig() as rig:
+            await rig.configure(
+                {"slots": True}, [rigs.route("k", "slots", attempts=1)]
+            )
+            owner = await rig.add_server("s1", "slots", is_keyed=True)
+            gateway = await rig.add_gateway()
+            key = "Shard-Key: 7\r\n"
+
+            async def is_served() -> bool:
+                reply = await gateway.ask("/k/x", "a", headers=key)
+                return reply is not None and reply.status == 200
+
+            await rigs.until(is_served)
+            owner.is_rejecting = True
+            owner.rejection_pause_s = 20.0
+            await gateway.ask("/k/x", "b", headers=key)
+            arrived = len(owner.arrivals)
+            replies = [
+                await gateway.ask("/k/x", f"c{n}", headers=key)
+                for n in range(10)
+            ]
+            assert {r.status for r in replies} == {503}
+            assert all(b"paused" in r.body for r in replies)
+            assert min(float(r.headers["retry-after"]) for r in replies) > 5.0
+            assert len(owner.arrivals) == arrived
+
+    async def test_half_of_the_servers_pause_in_a_burst(self):
+        """Guards against requests in a pause, or refused for nothing."""
+        async with rigs.Rig() as rig:
+            await rig.configure({"g": False}, [rigs.route("r", "g")])
+            servers = [
+                await rig.add_server(f"s{n}", "g", slots=20) for n in range(4)
+            ]
+            for server in servers[:2]:
+                server.is_rejecting = True
+                server.rejection_pause_s = 30.0
+            gateway = await rig.add_gateway()
+            replies = await self.ask_all(gateway, 100)
+            assert [r.status for r in replies].count(200) >= 96
+            assert all(len(s.arrivals) <= 2 for s in servers[:2])
+
+    @pytest.mark.parametrize("limit_per_s", [0.0, 0.2])
+    async def test_all_servers_are_limited(self, limit_per_s):
+        """Guards against groups that get more than all their limits."""
+        async with rigs.Rig() as rig:
+            await rig.configure({"g": False}, [rigs.route("r", "g")])
+            servers = [
+                await rig.add_server(f"s{n}", "g", slots=20) for n in range(2)
+            ]
+            for server in servers:
+                server.limit_per_s = limit_per_s
+            gateway = await rig.add_gateway()
+            replies = await self.ask_all(gateway, 100)
+            assert {r.status for r in replies} == {200, 503}
+            refused = [r for r in replies if r.status == 503]
+            assert all(float(r.headers["retry-after"]) > 0 for r in refused)
+            # The burst of a limit, and what was sent before it was known.
+            assert all(len(s.arrivals) <= 8 for s in servers)
+
+    async def test_enormous_limit_has_an_effect(self):
+        """Guards against a limit that no load reaches but that costs some."""
+        async with rigs.Rig() as rig:
+            await rig.configure({"g": False}, [rigs.route("r", "g")])
+            server = await rig.add_server("s1", "g", slots=50)
+            server.limit_per_s = 1e9
+            gateway = await rig.add_gateway()
+            replies = await self.ask_all(gateway, 100)
+            assert {r.status for r in replies} == {200}
+
+    async def test_limit_that_comes_and_goes(self):
+        """Guards against a server that isn't used after its limit ended."""
+        async with rigs.Rig() as rig:
+            await rig.configure({"g": False}, [rigs.route("r", "g")])
+            server = await rig.add_server("s1", "g", slots=50)
+            gateway = await rig.add_gateway()
+            for _ in range(3):
+                server.limit_per_s = 5.0
+                await self.ask_all(gateway, 30)
+                server.limit_per_s = None
+
+                async def is_served() -> bool:
+                    replies = await self.ask_all(gateway, 5)
+                    return {r.status for r in replies} == {200}
+
+                await rigs.until(is_served)
+
+
 class TestPlacedRequests:
     """Requests that wait for a connection when their server says something."""
 
