Restore the store under a frozen lease holder in the soak

Cause: freezes, restorations and moves of keys were drawn independently, and had to fall into the same second.

Change: a class of faults that freezes the holder, lets a server join, and has the store come back shortly before the holder continues. Classes are off by default and have choices of their own. A seed with classes keeps a tenth, two fifths or all of the usual faults.

--- /dev/null
+++ b/berylweir/soak/fault_classes.py
@@ -0,0 +1,100 @@
+"""Plans the faults of classes that a soak has in addition to its usual ones."""
+
+from collections.abc import Callable
+from collections.abc import Collection
+from collections.abc import Sequence
+import random
+
+from berylweir.soak import fault_schedule
+from berylweir.soak import models
+
+# Bounds of a freeze of the lease holder, in seconds. Its successor acts about
+# 2 s after the start.
+_MIN_HOLDER_FREEZE_S = 3.5
+_MAX_HOLDER_FREEZE_S = 6.0
+# Longest time from the start of the freeze to the copy of the store, so that
+# the copy names the frozen holder, in seconds.
+_MAX_COPY_DELAY_S = 1.6
+# Longest time from the return of the store to the end of the freeze.
+_MAX_THAW_DELAY_S = 0.4
+_MIN_STORE_AWAY_S = 0.2
+_MAX_STORE_AWAY_S = 1.0
+# Bounds of the time for which a server is away before the freeze.
+_MIN_LEAD_S = 1.0
+_MAX_LEAD_S = 2.0
+# Shares of the usual faults that remain beside those of classes. A fault of a
+# class takes several steps, and most other faults break its course.
+_USUAL_SHARES = (0.1, 0.4, 1.0)
+
+
+def generate(
+    seed: int,
+    seconds: float,
+    servers: int,
+    classes: Collection[models.FaultClass],
+) -> list[models.ScheduledFault]:
+    """Returns the faults of some classes.
+
+    Each class has choices of its own, so that it doesn't change the faults of
+    the others for a seed.
+
+    Args:
+        seed: Seed of the soak; equal seeds give equal faults.
+        seconds: Length of the soak, in seconds.
+        servers: Number of backend servers with faults.
+        classes: The classes.
+    """
+    scheduled_faults = []
+    for fault_class in classes:
+        rng = random.Random(f"{seed}/{fault_class.value}")
+        choose, max_pause_s = _PLANS[fault_class]
+        start_s = fault_schedule.FAULT_FREE_MARGIN_S
+        while start_s < seconds - fault_schedule.FAULT_FREE_MARGIN_S:
+            scheduled_faults.append(
+                models.ScheduledFault(start_s, choose(rng, servers))
+            )
+            start_s += rng.uniform(max_pause_s / 2.0, max_pause_s)
+    return scheduled_faults
+
+
+def thin_out(
+    seed: int, usual_faults: Sequence[models.ScheduledFault]
+) -> list[models.ScheduledFault]:
+    """Returns the usual faults that remain beside those of classes.
+
+    Args:
+        seed: Seed of the soak; it chooses their share as well.
+        usual_faults: Faults that the soak has without classes.
+    """
+    rng = random.Random(f"{seed}/thin-out")
+    share = rng.choice(_USUAL_SHARES)
+    return [fault for fault in usual_faults if rng.random() < share]
+
+
+def _restore_under_frozen_holder(
+    rng: random.Random, servers: int
+) -> models.Fault:
+    freeze_s = rng.uniform(_MIN_HOLDER_FREEZE_S, _MAX_HOLDER_FREEZE_S)
+    thaw_delay_s = rng.uniform(0.0, _MAX_THAW_DELAY_S)
+    copy_delay_s = rng.uniform(0.0, _MAX_COPY_DELAY_S)
+    return models.RestoreUnderFrozenHolder(
+        # Servers with even numbers have keys.
+        2 * rng.randrange(servers // 2),
+        rng.uniform(_MIN_LEAD_S, _MAX_LEAD_S),
+        freeze_s,
+        thaw_delay_s,
+        models.RestoreStore(
+            freeze_s - thaw_delay_s - copy_delay_s,
+            rng.uniform(_MIN_STORE_AWAY_S, _MAX_STORE_AWAY_S),
+        ),
+    )
+
+
+# How the faults of each class are chosen, and the longest time between the
+# starts of two, in seconds.
+_PLANS: dict[
+    models.FaultClass,
+    tuple[Callable[[random.Random, int], models.Fault], float],
+] = {
+    models.FaultClass.FROZEN_HOLDER: (_restore_under_frozen_holder, 12.0),
+}
--- a/berylweir/soak/models.py
+++ b/berylweir/soak/models.py
@@ -219,6 +219,28 @@
     away_s: float
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class RestoreUnderFrozenHolder:
+    """Restores the store while the holder of the lease is frozen.
+
+    A server is away before, so that the successor moves keys to it.
+
+    Attributes:
+        server: Number of the backend server.
+        lead_s: Time for which it is away before the freeze, in seconds.
+        freeze_s: Time for which the holder is frozen, in seconds.
+        thaw_delay_s: Time from the return of the store to the end of the
+            freeze, in seconds.
+        restoration: The restoration.
+    """
+
+    server: int
+    lead_s: float
+    freeze_s: float
+    thaw_delay_s: float
+    restoration: RestoreStore
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Isolate:
     """Injects a fault between gateways and all backend servers.
@@ -253,10 +275,17 @@
     | PauseServer
     | ReplaceServer
     | RestoreStore
+    | RestoreUnderFrozenHolder
     | Isolate
 )
 
 
+class FaultClass(enum.Enum):
+    """Class of faults in addition to the usual ones."""
+
+    FROZEN_HOLDER = "frozen_holder"  # Restorations under a frozen holder.
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class ScheduledFault:
     """A fault that starts `start_s` seconds after the start of the soak."""
--- a/berylweir/soak/program.py
+++ b/berylweir/soak/program.py
@@ -9,6 +9,7 @@
 
 import defopt
 
+from berylweir.soak import models
 from berylweir.soak import runner
 
 
@@ -23,6 +24,7 @@
     harmful: bool = False,
     rollouts: bool = False,
     pipelining: bool = False,
+    classes: list[models.FaultClass] | None = None,
     builds: list[pathlib.Path] | None = None,
 ) -> None:
     """Runs one soak of the gateway programs and prints the violations.
@@ -46,6 +48,7 @@
         pipelining: Also have callers send requests before the earlier ones are
             answered, and planned stops, signals and changes of the
             configuration overlap.
+        classes: Classes of faults in addition to the usual ones.
         builds: Source trees of the builds that each gateway runs in turn, from
             one start to the next; by default that of this program.
     """
@@ -63,6 +66,7 @@
             has_harmful_request=harmful,
             has_rollouts=rollouts,
             has_pipelining=pipelining,
+            classes=classes or (),
             builds=[build.resolve() for build in builds or ()],
         )
         violations = asyncio.run(_run_soak(soak_run))
--- a/berylweir/soak/runner.py
+++ b/berylweir/soak/runner.py
@@ -1,6 +1,7 @@
 """Runs one soak: starts the deployment, injects faults and checks results."""
 
 import asyncio
+from collections.abc import Collection
 from collections.abc import Sequence
 import contextlib
 import logging
@@ -13,6 +14,7 @@
 from berylweir.soak import checks
 from berylweir.soak import deployment as deployments
 from berylweir.soak import disruptions
+from berylweir.soak import fault_classes
 from berylweir.soak import fault_schedule
 from berylweir.soak import gateways
 from berylweir.soak import harmful_request
@@ -58,6 +60,7 @@
         has_harmful_request: bool = False,
         has_rollouts: bool = False,
         has_pipelining: bool = False,
+        classes: Collection[models.FaultClass] = (),
         builds: Sequence[pathlib.Path] = (),
     ) -> None:
         """Creates a soak that has not started.
@@ -76,12 +79,14 @@
                 rollouts only, instead of by each restart.
             has_pipelining: Whether callers pipeline requests, and planned work
                 comes in series that overlap.
+            classes: Classes of faults in addition to the usual ones.
             builds: Source trees of the builds that each gateway runs in turn;
                 none for the build of this process.
         """
         self._builds = builds
         self._has_rollouts = has_rollouts
         self._has_pipelining = has_pipelining
+        self._classes = classes
         self._pipelining_result: pipelining_checks.Result | None = None
         self._vms = vms
         self._has_harmful_request = has_harmful_request
@@ -297,6 +302,14 @@
             schedule += planned_series.generate(
                 self._seed, self._seconds, self._vms
             )
+        if self._classes:
+            schedule = fault_classes.thin_out(self._seed, schedule)
+        schedule += fault_classes.generate(
+            self._seed,
+            self._seconds,
+            deployments.FAULTY_SERVERS,
+            self._classes,
+        )
         schedule.sort(key=lambda scheduled: scheduled.start_s)
         async with asyncio.TaskGroup() as group:
             for scheduled_fault in schedule:
@@ -385,6 +398,8 @@
                 await self._deployment.make_statement(fault)
             case models.RestoreStore(age_s, away_s):
                 await self._deployment.restore_store(age_s, away_s)
+            case models.RestoreUnderFrozenHolder():
+                await self._restore_under_frozen_holder(fault)
             case _:
                 typing.assert_never(fault)
 
@@ -423,6 +438,27 @@
                 await self._apply_fault(models.Stop(vm))
                 await asyncio.sleep(rollout.pause_s)
 
+    async def _restore_under_frozen_holder(
+        self, fault: models.RestoreUnderFrozenHolder
+    ) -> None:
+        """Restores the store right before its frozen lease holder continues."""
+        away_s = fault.restoration.away_s
+        frozen_away_s = fault.freeze_s - fault.thaw_delay_s - away_s
+        async with asyncio.TaskGroup() as group:
+            # The server is back while the successor can still write.
+            departure = models.Deregister(
+                fault.server, fault.lead_s + frozen_away_s / 2.0
+            )
+            group.create_task(self._apply_fault(departure))
+            await asyncio.sleep(fault.lead_s)
+            holder = self._deployment.lease_holder
+            if holder is None:
+                return
+            freeze = models.Freeze(holder, fault.freeze_s)
+            group.create_task(self._apply_fault(freeze))
+            await asyncio.sleep(frozen_away_s)
+            await self._apply_fault(fault.restoration)
+
     async def _isolate(self, fault: models.Isolate) -> None:
         """Cuts gateways off from all servers for some time."""
         start_s = time.monotonic() - self._started_s
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -7,6 +7,7 @@
 
 import pytest
 
+from berylweir.soak import fault_classes
 from berylweir.soak import fault_schedule
 from berylweir.soak import models
 from berylweir.soak import planned_series
@@ -21,6 +22,8 @@
 # Seed and length of a soak with pipelined requests, in seconds.
 _PIPELINING_SEED = 12
 _PIPELINING_SECONDS = 10.5
+# Length of the soaks with a further class of faults, in seconds.
+_CLASS_SECONDS = 25.0
 # Seeds that failed once, each with the cause of its failure.
 _REGRESSIONS = (
     2,  # SIGHUP ended a gateway that had just started.
@@ -103,6 +106,25 @@
         assert await soak.run() == []
         assert soak.pipelining_result.checked > 0
 
+    @pytest.mark.parametrize(
+        ("fault_class", "seed"),
+        [
+            # Build 365902d lets servers share keys.
+            (models.FaultClass.FROZEN_HOLDER, 3),
+        ],
+    )
+    async def test_classes_break_no_guarantee(
+        self,
+        fault_class: models.FaultClass,
+        seed: int,
+        tmp_path: pathlib.Path,
+    ):
+        """Guards against faults that only one class of disruptions shows."""
+        soak = runner.Soak(
+            seed, _CLASS_SECONDS, tmp_path, classes=[fault_class]
+        )
+        assert await soak.run() == []
+
 
 class TestRollouts:
     """Changes of the build amid the other faults."""
@@ -196,6 +218,25 @@
             s for s in with_isolations if s not in isolations
         ]
 
+    def test_classes_do_not_change_each_other(self):
+        """Guards against regression seeds that no longer test the same."""
+        alone = [
+            fault_classes.generate(5, 60.0, 8, [fault_class])
+            for fault_class in models.FaultClass
+        ]
+        together = fault_classes.generate(5, 60.0, 8, list(models.FaultClass))
+        assert all(alone)
+        assert together == [fault for faults in alone for fault in faults]
+
+    def test_usual_faults_remain_beside_classes(self):
+        """Guards against classes that meet no other fault, or too many."""
+        usual = fault_schedule.generate(5, 60.0, 3, 8)
+        counts = {
+            len(fault_classes.thin_out(seed, usual)) for seed in range(20)
+        }
+        assert 0 < min(counts) < len(usual) / 4
+        assert max(counts) == len(usual)
+
     def test_all_kinds_of_faults_are_generated(self):
         """Guards against a kind of fault that is never injected."""
         kinds = {
@@ -205,6 +246,7 @@
                 *fault_schedule.generate(seed, 60.0, 3, 8, has_isolations=True),
                 *rollouts.generate(seed, 60.0, 3),
                 *planned_series.generate(seed, 60.0, 3),
+                *fault_classes.generate(seed, 60.0, 8, list(models.FaultClass)),
             )
         }
         assert kinds == set(models.Fault.__args__)
