Have servers of the soak send answers again

The soak never met the copy of an answer that ended the wait for a release.

Cause: its servers answered each request once, took 20 ms for one, and no check looked at running requests of released keys.

Change: the class LATE_COPIES has a server repeat the ids of all requests and send a share of its answers once more, when the next request has arrived. It is slow meanwhile, and drains. All soaks check that no key is held by a server while another one is at work on it.

--- a/berylweir/soak/deployment.py
+++ b/berylweir/soak/deployment.py
@@ -4,6 +4,7 @@
 import collections
 import contextlib
 import functools
+import random
 import time
 
 from berylweir.platform import objects
@@ -61,6 +62,8 @@
         self._server_starts: collections.Counter[int] = collections.Counter()
         self._server_proxies: list[proxy.FaultProxy] = []
         self._crash_tasks: set[asyncio.Task[None]] = set()
+        # Servers that send answers again.
+        self._copying_servers: set[int] = set()
         # Servers that have crashed and aren't back.
         self._crashed_servers: set[int] = set()
         # Copies of the store with their times on the monotonic clock.
@@ -147,7 +150,7 @@
         self._server_ports.append(await server_proxy.listen(stack))
         await self.register_server(number)
 
-    async def register_server(self, number: int) -> None:
+    async def register_server(self, number: int, state: str = "ready") -> None:
         """Writes the entry of a server to the store."""
         await self._store.put(
             "servers",
@@ -158,6 +161,7 @@
                 self._server_ports[number],
                 born_ms=1 + self._server_starts[number],
                 slots=_slots_of(number),
+                state=state,
             ),
         )
 
@@ -237,6 +241,27 @@
                 self._server_starts[number] += 1
                 await self.register_server(number)
 
+    async def copy_answers(self, fault: models.CopyAnswers) -> None:
+        """Has a server send answers again, drain and start again."""
+        number = fault.server
+        server = self._servers[number]
+        if number in self._copying_servers:
+            return
+        self._copying_servers.add(number)
+        rng = random.Random(repr(fault))
+        server.repeats_ids = True
+        server.choose_copy = lambda: rng.random() < fault.share
+        server.service_s = fault.service_s
+        await asyncio.sleep(fault.duration_s / 2.0)
+        await self.register_server(number, "draining")
+        await asyncio.sleep(fault.duration_s / 2.0)
+        server.choose_copy = lambda: False
+        server.service_s = _SERVICE_S
+        self._copying_servers.remove(number)
+        server.restart()
+        self._server_starts[number] += 1
+        await self.register_server(number)
+
     async def restore_store(self, age_s: float, away_s: float) -> None:
         """Has the store come back from the newest copy of an age or more.
 
--- a/berylweir/soak/fault_classes.py
+++ b/berylweir/soak/fault_classes.py
@@ -22,6 +22,14 @@
 # Bounds of the time for which a server is away before the freeze.
 _MIN_LEAD_S = 1.0
 _MAX_LEAD_S = 2.0
+# Bounds of the time for which a server sends answers again, in seconds.
+_MIN_COPYING_S = 2.0
+_MAX_COPYING_S = 5.0
+# Shares of its answers that it sends again.
+_COPY_SHARES = (0.1, 0.3, 0.6)
+# Bounds of the time that it takes for a request meanwhile, in seconds.
+_MIN_COPYING_SERVICE_S = 0.1
+_MAX_COPYING_SERVICE_S = 0.8
 # Shares of the usual faults that remain beside those of classes. A fault of a
 # class takes several steps, and most other faults break its course.
 _USUAL_SHARES = (0.1, 0.4, 1.0)
@@ -90,6 +98,15 @@
     )
 
 
+def _copy_answers(rng: random.Random, servers: int) -> models.Fault:
+    return models.CopyAnswers(
+        rng.randrange(servers),
+        rng.choice(_COPY_SHARES),
+        rng.uniform(_MIN_COPYING_SERVICE_S, _MAX_COPYING_SERVICE_S),
+        rng.uniform(_MIN_COPYING_S, _MAX_COPYING_S),
+    )
+
+
 # How the faults of each class are chosen, and the longest time between the
 # starts of two, in seconds.
 _PLANS: dict[
@@ -97,4 +114,5 @@
     tuple[Callable[[random.Random, int], models.Fault], float],
 ] = {
     models.FaultClass.FROZEN_HOLDER: (_restore_under_frozen_holder, 12.0),
+    models.FaultClass.LATE_COPIES: (_copy_answers, 2.0),
 }
--- a/berylweir/soak/live_checks.py
+++ b/berylweir/soak/live_checks.py
@@ -41,8 +41,19 @@
         return self._versions_in_force
 
     async def check_single_owner(self) -> typing.NoReturn:
-        """Records a violation if several servers own a sampled key."""
+        """Records a violation if several servers own a sampled key.
+
+        Or if a server owns a key on which another one is at work.
+        """
         while True:
+            servers = self._deployment.servers
+            self._violations += [
+                f"key {key} held by {other.name} while {server.name} is at work"
+                for server in servers
+                for key in server.keys_at_work
+                for other in servers
+                if other is not server and other.holds(key)
+            ]
             for key in _SAMPLED_KEYS:
                 owners = [
                     s.name for s in self._deployment.servers if s.holds(key)
--- a/berylweir/soak/models.py
+++ b/berylweir/soak/models.py
@@ -241,6 +241,24 @@
     restoration: RestoreStore
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class CopyAnswers:
+    """Has a backend server send answers again while its keys are moved away.
+
+    Attributes:
+        server: Number of the backend server.
+        share: Share of its answers that it sends again.
+        service_s: Time that it takes for a request, in seconds.
+        duration_s: How long it does so, in seconds. Half-way, its entry says
+            that it is draining.
+    """
+
+    server: int
+    share: float
+    service_s: float
+    duration_s: float
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Isolate:
     """Injects a fault between gateways and all backend servers.
@@ -276,6 +294,7 @@
     | ReplaceServer
     | RestoreStore
     | RestoreUnderFrozenHolder
+    | CopyAnswers
     | Isolate
 )
 
@@ -284,6 +303,7 @@
     """Class of faults in addition to the usual ones."""
 
     FROZEN_HOLDER = "frozen_holder"  # Restorations under a frozen holder.
+    LATE_COPIES = "late_copies"  # Answers of servers that arrive again.
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/berylweir/soak/runner.py
+++ b/berylweir/soak/runner.py
@@ -398,6 +398,8 @@
                 await self._deployment.make_statement(fault)
             case models.RestoreStore(age_s, away_s):
                 await self._deployment.restore_store(age_s, away_s)
+            case models.CopyAnswers():
+                await self._deployment.copy_answers(fault)
             case models.RestoreUnderFrozenHolder():
                 await self._restore_under_frozen_holder(fault)
             case _:
--- a/berylweir/standin/gateway_platform/http.py
+++ b/berylweir/standin/gateway_platform/http.py
@@ -43,6 +43,8 @@
         trailing_bytes: Bytes that are sent after the response.
         repeats_body: Whether the body is sent again and again in chunks, until
             the peer closes the connection.
+        comes_again: Whether a copy of it is sent once the next request has
+            arrived on the connection, before the response to that one.
     """
 
     status: int = 200
@@ -53,6 +55,7 @@
     ends_with_connection: bool = False
     trailing_bytes: bytes = b""
     repeats_body: bool = False
+    comes_again: bool = False
 
 
 Handler = Callable[[Request], Awaitable[Response]]
@@ -78,8 +81,9 @@
     ) -> None:
         task = asyncio.current_task()
         tasks.add(task)
+        copies: list[bytes] = []
         try:
-            while await _serve_one(reader, writer, handler):
+            while await _serve_one(reader, writer, handler, copies):
                 pass
         except (OSError, asyncio.IncompleteReadError, asyncio.CancelledError):
             pass  # The peer closed the connection, or `stack` is closing.
@@ -104,8 +108,17 @@
     reader: asyncio.StreamReader,
     writer: asyncio.StreamWriter,
     handler: Handler,
+    copies: list[bytes],
 ) -> bool:
-    """Serves one request; returns whether the connection stays open."""
+    """Serves one request; returns whether the connection stays open.
+
+    Args:
+        reader: Reads from the connection.
+        writer: Writes to the connection.
+        handler: Returns the response.
+        copies: Earlier responses to send once more. The response is added if
+            it comes again.
+    """
     request_head = (await reader.readuntil(b"\r\n\r\n")).decode("latin-1")
     request_line, *lines = request_head.split("\r\n")
     method, target, _ = request_line.split(" ", 2)
@@ -117,6 +130,8 @@
     url = urllib.parse.urlsplit(target)
     query = dict(urllib.parse.parse_qsl(url.query))
     path = urllib.parse.unquote(url.path)
+    writer.writelines(copies)
+    copies.clear()
     response = await handler(Request(method, path, query, headers, body))
     if response.status == 0:
         writer.transport.abort()
@@ -137,6 +152,8 @@
     while response.repeats_body:
         writer.write(b"%x\r\n%b\r\n" % (len(response.body), response.body))
         await writer.drain()
+    if response.comes_again:
+        copies.append(head + b"\r\n" + response.body)
     body_sent = response.body
     if response.is_truncated:
         body_sent = body_sent[: len(body_sent) // 2]
--- a/berylweir/standin/gateway_platform/server.py
+++ b/berylweir/standin/gateway_platform/server.py
@@ -1,6 +1,7 @@
 """Stand-in of a backend server behind the gateway."""
 
 import asyncio
+import collections
 from collections.abc import Callable
 import dataclasses
 import hashlib
@@ -108,6 +109,10 @@
         crashes_in_response: Whether it ends while it sends the response to such
             a request, instead of before it.
         on_crash: Called to end it.
+        repeats_ids: Whether its responses to commands repeat their ids, as
+            those to other requests always do.
+        choose_copy: Returns whether it sends a response once more, on the same
+            connection when the next request has arrived.
         choose_grant_delay_s: Returns the delay of a grant in seconds, or None
             to apply it at once. A delayed grant gets no response.
     """
@@ -145,13 +150,17 @@
         self.crashing_paths: frozenset[str] = frozenset()
         self.crashes_in_response = False
         self.on_crash: Callable[[], None] = lambda: None
+        self.repeats_ids = False
+        self.choose_copy: Callable[[], bool] = lambda: False
         self.choose_grant_delay_s: Callable[[], float | None] = lambda: None
         self._slots = slots
         self._is_keyed = is_keyed
         self._clock = clock
         self._grants: dict[int, _KeyGrant] = {}
         self._highest_tokens: dict[int, int] = {}
-        self._in_flight_by_key: dict[int, int] = {}
+        # When the last grant of each key runs out, even if it was released.
+        self._hold_ends_s: dict[int, float] = {}
+        self._in_flight_by_key: collections.Counter[int] = collections.Counter()
         self._request_ended = asyncio.Condition()
         self._instance = 0
 
@@ -160,8 +169,33 @@
         grant = self._grants.get(key)
         return grant is not None and grant.expires_at_s > self._clock()
 
+    @property
+    def keys_at_work(self) -> list[int]:
+        """Keys of running requests whose grants haven't run out yet.
+
+        A grant that was released counts as well.
+        """
+        now_s = self._clock()
+        return [
+            key
+            for key in self._in_flight_by_key
+            if self._hold_ends_s.get(key, 0.0) > now_s
+        ]
+
     async def handle(self, request: http.Request) -> http.Response:
         """Serves a caller's request, a health check, a grant or a release."""
+        response = await self._respond(request)
+        if response.status == 0:
+            return response
+        request_id = request.headers.get("request-id")
+        headers = response.headers
+        if self.repeats_ids and request_id is not None:
+            headers = {"Request-Id": request_id, **headers}
+        return dataclasses.replace(
+            response, headers=headers, comes_again=self.choose_copy()
+        )
+
+    async def _respond(self, request: http.Request) -> http.Response:
         expected = request.headers.get("expect-instance", self.name)
         if expected != self.name:
             return _reject(request, 421, {"Instance-Id": self.name})
@@ -198,6 +232,7 @@
         for key in keys:
             self._highest_tokens[key] = fields["fence"]
             self._grants[key] = _KeyGrant(fields["fence"], expires_at_s)
+            self._hold_ends_s[key] = expires_at_s
         return http.Response(200)
 
     async def _release(self, fields: dict[str, int]) -> http.Response:
@@ -249,7 +284,7 @@
         )
         self.in_flight += 1
         if key is not None:
-            self._in_flight_by_key[key] = self._in_flight_by_key.get(key, 0) + 1
+            self._in_flight_by_key[key] += 1
         try:
             if request.path in self.crashing_paths:
                 if self.crashes_in_response:
@@ -261,6 +296,8 @@
             self.in_flight -= 1
             if key is not None:
                 self._in_flight_by_key[key] -= 1
+                if not self._in_flight_by_key[key]:
+                    del self._in_flight_by_key[key]
             async with self._request_ended:
                 self._request_ended.notify_all()
         if self.next_responses:
@@ -282,6 +319,7 @@
         self.limit_per_s = None
         self.is_leaving = False
         self._grants.clear()
+        self._hold_ends_s.clear()
         self._highest_tokens.clear()
 
     def _statements(self, *, is_rejection: bool) -> dict[str, str]:
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -111,6 +111,8 @@
         [
             # Build 365902d lets servers share keys.
             (models.FaultClass.FROZEN_HOLDER, 3),
+            # Build 493d379 grants keys that are in use.
+            (models.FaultClass.LATE_COPIES, 2),
         ],
     )
     async def test_classes_break_no_guarantee(
