List past pages whose objects can't be decoded

Gateways that started read no servers for as long as one page of the listing had only entries that can't be decoded.

Cause: the next page is asked for by the name of the last decoded object, and a page without one made the listing fail.

Change: the names of such objects are taken from their bytes, to ask for the next page by them. Listings and changes give the names.

Evidence: test_pages_of_unreadable_objects_hide_no_others (three of three objects on a page) failed before with Undecodable, and passes.

--- a/berylweir/platform/store.py
+++ b/berylweir/platform/store.py
@@ -3,6 +3,7 @@
 import asyncio
 from collections.abc import Callable
 from collections.abc import Iterable
+from collections.abc import Sequence
 import contextlib
 import dataclasses
 from typing import Annotated
@@ -89,11 +90,13 @@
         revision: Store revision up to which the listing is complete.
         undecodable: Number of objects skipped because they couldn't be
             decoded.
+        undecodable_names: Names of those whose names could be decoded.
     """
 
     objects: list[StoredObject]
     revision: int
     undecodable: int
+    undecodable_names: list[str]
 
 
 class ObjectChange(msgspec.Struct):
@@ -116,11 +119,14 @@
         revision: Store revision up to which the changes are complete.
         undecodable: Number of changes skipped because they couldn't be
             decoded.
+        undecodable_names: Names of their objects, as far as they could be
+            decoded.
     """
 
     changes: list[ObjectChange]
     revision: int
     undecodable: int
+    undecodable_names: list[str]
 
 
 _OBJECT_DECODER = msgspec.json.Decoder(StoredObject)
@@ -129,6 +135,9 @@
 _EVENTS_DECODER = msgspec.json.Decoder(_Events)
 # Number of arrays and objects around the items of a page and around events.
 _ITEM_DEPTH = 2
+# Members that lead to the name of an object, and of the object of an event.
+_OBJECT_NAME_PATH = (b"meta", b"name")
+_EVENT_NAME_PATH = (b"object", *_OBJECT_NAME_PATH)
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -202,6 +211,8 @@
         """
         objects: list[StoredObject] = []
         undecodable = 0
+        undecodable_names: list[str] = []
+        last_name = ""
         query = ""
         while True:
             path = f"{_PATH_PREFIX}/{kind}{query}"
@@ -211,25 +222,34 @@
                 case result.Ok(response):
                     pass
             try:
-                page = _decode_items(_PAGE_DECODER, response.body)
+                page = _decode_items(
+                    _PAGE_DECODER, response.body, _OBJECT_NAME_PATH
+                )
             except msgspec.MsgspecError as error:
                 return result.Err(exceptions.Undecodable(kind, str(error)))
-            known_count = len(objects)
+            known_name = last_name
             for raw in page.items:
                 stored_object = _decode_object(raw, response.generation)
-                if stored_object is None:
-                    undecodable += 1
-                else:
+                if stored_object is not None:
                     objects.append(stored_object)
+                    last_name = stored_object.name
+                    continue
+                undecodable += 1
+                name = _find_name(raw, _OBJECT_NAME_PATH)
+                if name is not None:
+                    undecodable_names.append(name)
+                    last_name = name
             if not page.more or not page.items:
                 revision = revisions.compose(response.generation, page.as_of)
-                return result.Ok(Listing(objects, revision, undecodable))
-            if len(objects) == known_count:
+                return result.Ok(
+                    Listing(objects, revision, undecodable, undecodable_names)
+                )
+            if last_name == known_name:
                 # The next page is asked for by the name of the last object.
                 return result.Err(
-                    exceptions.Undecodable(kind, "a page without objects")
+                    exceptions.Undecodable(kind, "a page without names")
                 )
-            after = urllib.parse.quote(objects[-1].name, safe="")
+            after = urllib.parse.quote(last_name, safe="")
             query = f"?after={after}"
 
     async def watch(
@@ -278,22 +298,29 @@
             # The store was restored, and the revision is another one there.
             return result.Err(exceptions.HistoryExpired(kind, revision))
         try:
-            events = _decode_items(_EVENTS_DECODER, received.body)
+            events = _decode_items(
+                _EVENTS_DECODER, received.body, _EVENT_NAME_PATH
+            )
         except msgspec.MsgspecError as error:
             return result.Err(exceptions.Undecodable(kind, str(error)))
         changes: list[ObjectChange] = []
         undecodable = 0
+        undecodable_names: list[str] = []
         for raw in events.events:
             change = _decode_change(raw, generation)
-            if change is None:
-                undecodable += 1
-            else:
+            if change is not None:
                 changes.append(change)
+                continue
+            undecodable += 1
+            name = _find_name(raw, _EVENT_NAME_PATH)
+            if name is not None:
+                undecodable_names.append(name)
         return result.Ok(
             ObjectChanges(
                 changes,
                 revisions.compose(generation, events.as_of),
                 undecodable,
+                undecodable_names,
             )
         )
 
@@ -474,12 +501,23 @@
     return _decode_object(msgspec.Raw(failure.body), failure.generation)
 
 
-def _decode_items(decoder: msgspec.json.Decoder[_T], body: bytes) -> _T:
-    """Decodes a response with items, without those that can't be decoded."""
+def _decode_items(
+    decoder: msgspec.json.Decoder[_T], body: bytes, name_path: Sequence[bytes]
+) -> _T:
+    """Decodes a response, with names for items that can't be decoded."""
     try:
         return decoder.decode(body)
     except nesting.DECODE_ERRORS:
-        return decoder.decode(nesting.drop_undecodable_items(body, _ITEM_DEPTH))
+        return decoder.decode(
+            nesting.drop_undecodable_items(body, _ITEM_DEPTH, name_path)
+        )
+
+
+def _find_name(raw: msgspec.Raw, name_path: Sequence[bytes]) -> str | None:
+    """Returns the name of an item that isn't valid, or was replaced by it."""
+    with contextlib.suppress(*nesting.DECODE_ERRORS):
+        return msgspec.json.decode(raw, type=str)
+    return nesting.find_name(bytes(raw), name_path)
 
 
 def _decode_change(raw: msgspec.Raw, generation: int) -> ObjectChange | None:
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -68,6 +68,28 @@
         assert [c.object.name for c in watched.changes] == names
         assert watched.revision == listing.revision
 
+    async def test_pages_of_unreadable_objects_hide_no_others(
+        self, store_and_client
+    ):
+        """Guards against a listing that fails as long as they exist."""
+        fake_store, client = store_and_client
+        # The stand-in has three objects in each page.
+        specs = (
+            b'"\\udc00"',
+            b'{"meta": {"name": "z"}, "x": "\\udcff"}',
+            b'{"x":' * 1000 + b"1" + b"}" * 1000,
+            b'["meta", "name", "\\ud800"]',
+        )
+        for number, spec in enumerate(specs):
+            await fake_store.put("k", f"a{number}", msgspec.Raw(spec))
+        await fake_store.put("k", "b", {"n": 1})
+        listing = (await client.list_all("k")).unwrap()
+        assert [o.name for o in listing.objects] == ["b"]
+        assert listing.undecodable == 4
+        assert listing.undecodable_names == ["a0", "a1", "a2", "a3"]
+        changes = (await client.watch("k", 1)).unwrap()
+        assert changes.undecodable_names == ["a0", "a1", "a2", "a3"]
+
     async def test_deeply_nested_object_is_left_out(self, store_and_client):
         """Guards against an odd entry that hides all others of its kind."""
         fake_store, client = store_and_client
