Log the names of objects that can't be decoded, once a minute

Objects whose bytes can't be decoded were only counted, so that their writer couldn't be found. Those of which only the spec was odd were logged with each revision, as often as their writer wrote them.

Cause: the names were not known, and lines were limited by revision.

Change: gateway/skipped_objects counts all and logs each object once a minute, and at most 100 objects.

--- a/berylweir/gateway/replication/task.py
+++ b/berylweir/gateway/replication/task.py
@@ -8,6 +8,7 @@
 
 import result
 
+from berylweir.gateway import skipped_objects
 from berylweir.gateway.peers import messages as peers
 from berylweir.gateway.replication import change_log
 from berylweir.gateway.replication import codec
@@ -89,6 +90,7 @@
         self._publish = publish
         self._on_change = on_change
         self._metrics = metrics
+        self._skipped_objects = skipped_objects.SkippedObjects(metrics)
         self._timing = timing
         self._state = state.KindState(
             keeps_expired=keeps_expired, keeps_lost=keeps_lost
@@ -236,7 +238,7 @@
                 return failure
             case result.Ok(listing):
                 self._on_store_regained(started_s)
-                self._count_undecodable(listing.undecodable)
+                self._report_undecodable(listing)
                 if self._state.replace(
                     listing.objects, listing.revision, self._now_s()
                 ):
@@ -256,7 +258,7 @@
                 return failure
             case result.Ok(watched):
                 self._on_store_regained(started_s)
-                self._count_undecodable(watched.undecodable)
+                self._report_undecodable(watched)
                 for change in watched.changes:
                     self._state.apply_change(
                         change.object,
@@ -363,9 +365,15 @@
         )
         self._on_change()
 
-    def _count_undecodable(self, count: int) -> None:
-        if count:
-            self._metrics.count("store.undecodable", count)
+    def _report_undecodable(
+        self, received: store.Listing | store.ObjectChanges
+    ) -> None:
+        self._skipped_objects.report(
+            self._kind,
+            received.undecodable_names,
+            received.undecodable,
+            "invalid JSON or an unexpected type",
+        )
 
     def _now_s(self) -> float:
         return asyncio.get_running_loop().time()
--- a/berylweir/gateway/store_cache.py
+++ b/berylweir/gateway/store_cache.py
@@ -12,6 +12,7 @@
 from berylweir.crash_suspects import quarantine
 from berylweir.gateway import messages
 from berylweir.gateway import models
+from berylweir.gateway import skipped_objects
 from berylweir.gateway.ownership import tables
 from berylweir.gateway.suspects import messages as suspects
 from berylweir.observability import counters
@@ -45,6 +46,7 @@
         self._configuration: models.Configuration | None = None
         self._configuration_revision = 0
         self._servers: dict[str, models.BackendServer] = {}
+        self._skipped_objects = skipped_objects.SkippedObjects(metrics)
         self._undecodable_revisions: dict[str, int] = {}
         # Encoded key tables; those that other gateways sent as changes are
         # only encoded on request.
@@ -286,19 +288,12 @@
     def _report_undecodable(
         self, kind: str, stored: store.StoredObject, failure: object
     ) -> None:
-        """Counts and logs an undecodable object, once for each revision."""
+        """Counts each revision of an undecodable object, and logs it."""
         name = f"{kind}/{stored.name}"
-        if self._undecodable_revisions.get(name) == stored.revision:
-            return
+        is_new = self._undecodable_revisions.get(name) != stored.revision
         self._undecodable_revisions[name] = stored.revision
-        self._metrics.count("store.undecodable")
-        _LOGGER.warning(
-            "object skipped",
-            extra={
-                "object": name,
-                "revision": stored.revision,
-                "failure": failure,
-            },
+        self._skipped_objects.report(
+            kind, (stored.name,), 1 if is_new else 0, failure
         )
 
 
