--- a/berylweir/soak/models.py
+++ b/berylweir/soak/models.py
@@ -219,6 +219,46 @@
     away_s: float
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class RestoreUnderFrozenHolder:
+    """Restores the store while the holder of the lease is frozen.
+
+    A server is away before, so that the successor moves keys to it.
+
+    Attributes:
+        server: Number of the backend server.
+        lead_s: Time for which it is away before the freeze, in seconds.
+        freeze_s: Time for which the holder is frozen, in seconds.
+        thaw_delay_s: Time from the return of the store to the end of the
+            freeze, in seconds.
+        restoration: The restoration.
+    """
+
+    server: int
+    lead_s: float
+    freeze_s: float
+    thaw_delay_s: float
+    restoration: RestoreStore
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class CopyAnswers:
+    """Has a backend server send answers again while its keys are moved away.
+
+    Attributes:
+        server: Number of the backend server.
+        share: Share of its answers that it sends again.
+        service_s: Time that it takes for a request, in seconds.
+        duration_s: How long it does so, in seconds. Half-way, its entry says
+            that it is draining.
+    """
+
+    server: int
+    share: float
+    service_s: float
+    duration_s: float
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Isolate:
     """Injects a fault between gateways and all backend servers.
@@ -253,10 +293,19 @@
     | PauseServer
     | ReplaceServer
     | RestoreStore
+    | RestoreUnderFrozenHolder
+    | CopyAnswers
     | Isolate
 )
 
 
+class FaultClass(enum.Enum):
+    """Class of faults in addition to the usual ones."""
+
+    FROZEN_HOLDER = "frozen_holder"  # Restorations under a frozen holder.
+    LATE_COPIES = "late_copies"  # Answers of servers that arrive again.
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class ScheduledFault:
     """A fault that starts `start_s` seconds after the start of the soak."""
