Give the ranges that earlier keepers may grant a module of their own

pytest tests/gateway/ownership/test_granting.py tests/gateway/ownership/test_liveness.py tests/gateway/test_owner_history.py: passed.

--- a/berylweir/gateway/ownership/granting.py
+++ b/berylweir/gateway/ownership/granting.py
@@ -12,6 +12,7 @@
 from berylweir.gateway.ownership import address_reuse
 from berylweir.gateway.ownership import grant_client
 from berylweir.gateway.ownership import grant_expiry
+from berylweir.gateway.ownership import unfenced_ranges
 from berylweir.observability import counters
 from berylweir.platform import grants
 
@@ -105,14 +106,7 @@
         self._move_tasks: dict[RangeMove, asyncio.Task[None]] = {}
         self._released_moves: set[RangeMove] = set()
         self._completed_moves: set[RangeMove] = set()
-        # Ranges that an earlier keeper may still grant, by their owner and, in
-        # moves that it started, also by the source: the earlier keeper may have
-        # got no response when it wrote the move. A range ends once the server
-        # has accepted one of this keeper's tokens for it.
-        self._unfenced_ranges: dict[
-            models.ServerInstance, set[tuple[int, int]]
-        ] = {}
-        self._groups_recorded_as_unfenced: set[str] = set()
+        self._unfenced = unfenced_ranges.UnfencedRanges()
         self._is_active = False
 
     def start_epoch(self, predecessors_stop_s: float) -> None:
@@ -126,8 +120,7 @@
         self._expiries.start_epoch(
             predecessors_stop_s + grant_expiry.max_grant_lifetime_s()
         )
-        self._unfenced_ranges.clear()
-        self._groups_recorded_as_unfenced.clear()
+        self._unfenced.start_epoch()
         self._is_active = True
 
     def confirm_predecessors_stopped(self) -> None:
@@ -205,7 +198,7 @@
         return (
             owner is not None
             and clock.boot_s() < self._expiries.inherited_expires_s
-            and self._is_unfenced(owner, key_range)
+            and self._unfenced.has_any(owner, key_range)
             and owner in self._clients
             and self._expiries.for_server(owner).consecutive_failures == 0
         )
@@ -218,7 +211,7 @@
         """Starts and cancels renewals and moves to match a table."""
         if not self._is_active:
             return
-        self._record_unfenced_ranges(table)
+        self._unfenced.record_table(table)
         owners = {r.owner for r in table.ranges if r.previous_owner is None}
         required_renewals = {(table.group, o) for o in owners if o is not None}
         for renewal in [k for k in self._renewal_tasks if k[0] == table.group]:
@@ -243,18 +236,6 @@
             if move not in self._move_tasks:
                 self._move_tasks[move] = asyncio.create_task(self._move(move))
 
-    def _record_unfenced_ranges(self, table: models.KeyTable) -> None:
-        """Records the ranges that an earlier keeper left, once a group."""
-        if table.group in self._groups_recorded_as_unfenced:
-            return
-        self._groups_recorded_as_unfenced.add(table.group)
-        for key_range in table.ranges:
-            for instance in (key_range.previous_owner, key_range.owner):
-                if instance is not None:
-                    self._unfenced_ranges.setdefault(instance, set()).add(
-                        (key_range.first, key_range.last)
-                    )
-
     # Renewals
 
     async def _renew_grants(
@@ -367,7 +348,7 @@
         match outcome:
             case grants.Accepted():
                 expiry.record_accepted(clock.boot_s())
-                self._record_fenced(instance, key_range)
+                self._unfenced.record_accepted(instance, key_range)
                 return True
             case grant_client.NotSent() | grants.Rejected():
                 # A server that took over the address rejects commands that are
@@ -396,28 +377,6 @@
         )
         return False
 
-    def _record_fenced(
-        self, instance: models.ServerInstance, key_range: models.KeyRange
-    ) -> None:
-        """Records that a server rejects earlier grants of a range."""
-        remaining: set[tuple[int, int]] = set()
-        for first, last in self._unfenced_ranges.get(instance, ()):
-            parts = (
-                (first, min(last, key_range.first - 1)),
-                (max(first, key_range.last + 1), last),
-            )
-            remaining.update(part for part in parts if part[0] <= part[1])
-        self._unfenced_ranges[instance] = remaining
-
-    def _is_unfenced(
-        self, instance: models.ServerInstance, key_range: models.KeyRange
-    ) -> bool:
-        """Returns whether an earlier keeper may grant keys of a range."""
-        return any(
-            first <= key_range.last and last >= key_range.first
-            for first, last in self._unfenced_ranges.get(instance, ())
-        )
-
     # Moves
 
     async def _move(self, move: RangeMove) -> None:
@@ -517,7 +476,7 @@
             # includes this range will follow.
             last_expires_s = self._expiries.for_server(source).expires_s
             # A server that has started again has forgotten the tokens.
-            may_be_granted_by_predecessor = self._is_unfenced(
+            may_be_granted_by_predecessor = self._unfenced.has_any(
                 source, key_range
             ) or self._was_replaced(source)
             awaits_predecessor = (
