Move the writing of key tables out of the keeper task

pytest tests/gateway/ownership/test_task.py tests/gateway/ownership/test_liveness.py tests/gateway/test_restored_store.py tests/gateway/test_keyed_path.py tests/docs: 105 passed, 1 known flaky test passed.

--- a/berylweir/gateway/ownership/task.py
+++ b/berylweir/gateway/ownership/task.py
@@ -9,7 +9,6 @@
 from collections.abc import Mapping
 from collections.abc import Sequence
 import contextlib
-import dataclasses
 import functools
 import logging
 from typing import Any
@@ -19,7 +18,6 @@
 from berylweir.gateway import clock
 from berylweir.gateway import messages
 from berylweir.gateway import models
-from berylweir.gateway import revisions
 from berylweir.gateway.dispatch import task as dispatch
 from berylweir.gateway.ownership import balance
 from berylweir.gateway.ownership import balance_monitor
@@ -32,13 +30,13 @@
 from berylweir.gateway.ownership import table_order
 from berylweir.gateway.ownership import table_publisher
 from berylweir.gateway.ownership import table_recovery
+from berylweir.gateway.ownership import table_writer
 from berylweir.gateway.ownership import tables
 from berylweir.gateway.ownership import usage_reports
 from berylweir.gateway.peers import messages as peers
 from berylweir.gateway.peers import task as peer_task
 from berylweir.gateway.replication import codec
 from berylweir.observability import counters
-from berylweir.platform import exceptions
 from berylweir.platform import objects
 from berylweir.platform import store
 from berylweir.supervision import mailbox
@@ -51,8 +49,6 @@
 # seconds, so that all servers can register. Each does so with its first
 # heartbeat.
 _REGISTRATION_WAIT_S = 2.0
-# Delay after a failed write of a table, in seconds.
-_WRITE_RETRY_S = 0.3
 # Delay before completed moves are written, in seconds, so that moves that
 # complete at about the same time share one write.
 _COMPLETION_BATCH_S = 0.01
@@ -113,10 +109,6 @@
         self._servers: Mapping[str, models.BackendServer] = {}
         self._vms: Mapping[str, models.Vm] = {}
         self._tables: dict[str, models.KeyTable] = {}
-        # Revisions for the condition of the next write, if the store has a
-        # table at another one than that at which it was written; 0 if it has
-        # none.
-        self._stored_revisions: dict[str, int] = {}
         # Groups whose tokens this keeper has raised under its present lease.
         # The granter gets the tables of these groups only.
         self._groups_with_new_tokens: set[str] = set()
@@ -151,6 +143,14 @@
             is_isolated=lambda: self._reports.is_isolated,
         )
         self._publisher = table_publisher.TablePublisher(local_vm, peer_client)
+        self._table_writer = table_writer.TableWriter(
+            client,
+            self._tables,
+            self._publisher,
+            metrics,
+            on_written=self._update_table,
+            update_local_tables=update_local_tables,
+        )
         self._granter = granting.Granter(
             self._tables.get,
             lambda: self._lease.may_act,
@@ -272,8 +272,7 @@
         current = self._tables.get(table.group)
         if current is None or table.order > current.order:
             self._tables[table.group] = table
-            if self._stored_revisions.get(table.group, 0) < table.revision:
-                self._stored_revisions[table.group] = table.revision
+            self._table_writer.record_revision(table.group, table.revision)
             if self._lease.is_holder and table.epoch > self._lease.epoch:
                 # Another keeper has taken over, and this one hasn't read its
                 # lease yet.
@@ -481,7 +480,9 @@
         )
         if not startable:
             return found
-        if not await self._write_table(tables.start_moves(table, startable)):
+        if not await self._table_writer.write(
+            tables.start_moves(table, startable)
+        ):
             return (*found, holds.TableNotWritten())
         _LOGGER.info(
             "moves begun",
@@ -498,7 +499,7 @@
         self, table: models.KeyTable
     ) -> Sequence[holds.Hold]:
         """Writes a group's table with tokens of the present lease."""
-        if not await self._write_table(
+        if not await self._table_writer.write(
             tables.raise_tokens(table, self._lease.epoch)
         ):
             return (holds.TableNotWritten(),)
@@ -516,7 +517,7 @@
             return (holds.NoCandidates(),)
         owners = self._candidates.sort_by_zone(eligible)
         table = tables.create(name, owners, self._lease.epoch)
-        if not await self._write_table(table):
+        if not await self._table_writer.write(table):
             return (holds.TableNotWritten(),)
         self._groups_with_new_tokens.add(name)
         self._granter.apply_table(self._tables[name])
@@ -531,78 +532,4 @@
                 table, functools.partial(self._granter.is_completed, name)
             )
             if updated.ranges != table.ranges:
-                await self._write_table(updated)
-
-    async def _write_table(self, table: models.KeyTable) -> bool:
-        """Writes a table; returns whether the store accepted it."""
-        name = table.group
-        if revisions.epoch_generation(table.epoch) < self._client.generation:
-            # The lease must be taken again in the restored store first.
-            return False
-        spec = objects.encode_table(table)
-        revision = self._stored_revisions.get(name, table.revision)
-        if revision == 0:
-            response = await self._client.create(
-                objects.KEY_TABLES_KIND, name, spec
-            )
-        else:
-            response = await self._client.replace(
-                objects.KEY_TABLES_KIND, name, spec, revision
-            )
-        match response:
-            case result.Ok(stored) if revisions.generation(
-                stored.revision
-            ) > revisions.epoch_generation(table.epoch):
-                # The store was restored meanwhile. Another gateway may have
-                # had the lease before that, and have granted other tables.
-                self._stored_revisions[name] = stored.revision
-                self._metrics.count("tables.restored")
-            case result.Ok(stored):
-                return self._accept_stored_table(stored)
-            case result.Err(exceptions.Missing()):
-                # The store was restored from a copy without the table.
-                self._stored_revisions[name] = 0
-            case result.Err(exceptions.Conflict() as conflict):
-                # Another keeper has written the table, or an earlier write of
-                # this keeper took effect although it got no response.
-                self._metrics.count("tables.conflict")
-                current = store.decode_conflict(conflict)
-                if current is not None:
-                    self._accept_stored_table(current)
-            case result.Err(failure):
-                self._metrics.count("tables.not_written")
-                _LOGGER.warning(
-                    "table not written",
-                    extra={"group": table.group, "failure": failure},
-                )
-                await asyncio.sleep(_WRITE_RETRY_S)
-        return False
-
-    def _accept_stored_table(self, stored: store.StoredObject) -> bool:
-        """Applies and publishes a table as the store has it.
-
-        Returns:
-            Whether the object could be decoded.
-        """
-        match objects.decode_table(stored):
-            case result.Ok(decoded):
-                self._stored_revisions[decoded.group] = stored.revision
-                ordered = objects.order_by_writing(stored, decoded)
-                table = dataclasses.replace(decoded, revision=ordered.revision)
-                previous = self._tables.get(table.group)
-                if previous is not None and table.order < previous.order:
-                    # The store was restored from a copy with an older table, or
-                    # an earlier holder wrote it there. The next write replaces
-                    # it.
-                    self._metrics.count("tables.restored")
-                    return False
-                if previous is not None and table.order == previous.order:
-                    return True
-                self._update_table(table)
-                self._update_local_tables([ordered])
-                self._publisher.publish(previous, table, ordered)
-                return True
-            case result.Err(failure):
-                self._metrics.count("tables.undecodable")
-                _LOGGER.error("table unreadable", extra={"failure": failure})
-                return False
+                await self._table_writer.write(updated)
