Let a source that is fenced meanwhile end the wait for its grants

The bound of the wait for a refused release noted whether the source was fenced when the move began. One that accepted its other first grants during the wait was waited for until the earlier keepers' grants had expired, up to 16.7 s, although it rejects them by then. It is asked anew each time, as before.

The keys of the move themselves are still looked up when the move begins, since they aren't among the grants that fence the source afterwards.

--- a/berylweir/gateway/ownership/granting.py
+++ b/berylweir/gateway/ownership/granting.py
@@ -479,17 +479,16 @@
             may_be_granted_by_predecessor = self._unfenced.has_any(
                 source, key_range
             ) or self._was_replaced(source)
-            awaits_predecessor = (
-                may_be_granted_by_predecessor
-                or not self._expiries.for_server(source).is_fenced
-            )
         await asyncio.sleep(_PUBLISH_DELAY_S)
 
         def expires_s() -> float:
             # Computed anew each time, as the bound on an earlier keeper's
             # grants may be lowered meanwhile. Later grants of this keeper don't
             # count: they renew other ranges.
-            if awaits_predecessor:
+            if (
+                may_be_granted_by_predecessor
+                or not self._expiries.for_server(source).is_fenced
+            ):
                 return max(last_expires_s, self._expiries.inherited_expires_s)
             return last_expires_s
 
