Excuse answers behind a response that a faulty link holds back in a stop

In a stop, a gateway doesn't break off what it has sent, since a server may be at work on it, and it can't see that this one isn't. The caller left at a deadline, beside a fault that wasn't planned, so this is allowed. Outside of a stop, such a request is given up for those behind it, and the check demands that as before.

Change: the check excuses an answer in a stop if the log of its gateway says that a request in front of it was at a server whose link was faulty during that request. It excused only what a server was executing.

Tests: test_faulty_link_in_front_excuses_a_request_in_a_stop and test_only_requests_at_a_server_count_as_sent are new; the other tests of the checks pass unchanged.

--- a/berylweir/soak/gateways.py
+++ b/berylweir/soak/gateways.py
@@ -10,6 +10,8 @@
 import sys
 import time
 
+import msgspec
+
 from berylweir.platform import settings
 from berylweir.soak import models
 from berylweir.standin import ports
@@ -116,6 +118,22 @@
         """Process id of the program; 0 if it doesn't run."""
         return self._process.pid if self._process is not None else 0
 
+    def read_sent_to(self) -> dict[str, str]:
+        """Returns where requests were when their callers left, by request id.
+
+        The name of the server, or of the VM that got the request, is read from
+        the log. A line that the end of the program cut off is skipped.
+        """
+        sent_to = {}
+        for line in self._log_path.read_bytes().splitlines():
+            if b'"abandoned"' not in line:
+                continue
+            with contextlib.suppress(msgspec.DecodeError):
+                fields = msgspec.json.decode(line, type=dict[str, object])
+                if fields.get("message") == "abandoned" and fields["sent_to"]:
+                    sent_to[str(fields["request"])] = str(fields["sent_to"])
+        return sent_to
+
     @property
     def port(self) -> int:
         """TCP port for callers."""
--- a/berylweir/soak/pipelining_checks.py
+++ b/berylweir/soak/pipelining_checks.py
@@ -54,6 +54,8 @@
         idle_limits: Idle limit of each version.
         stalls: Times in which the process of the callers and servers stalled.
         processor_waits: Times that gateways waited for a processor.
+        sent_to: Servers to which gateways had sent requests without an answer
+            when the callers of these left, by request id.
     """
 
     started_s: float
@@ -72,6 +74,7 @@
     idle_limits: Sequence[models.IdleLimit] = ()
     stalls: Sequence[soak_stalls.Stall] = ()
     processor_waits: Sequence[soak_waits.ProcessorWait] = ()
+    sent_to: Mapping[str, str] = dataclasses.field(default_factory=dict)
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -131,7 +134,8 @@
       one late in a stop and reached no server;
     - a request whose answer was ready before its caller left, and whose
       deadline hadn't passed, has been answered, unless the gateway was stopping
-      and a server worked on a request in front of it;
+      and a server worked on a request in front of it, or its response had to
+      pass a faulty link;
     - an idle connection is kept for the idle limit of the configuration.
 
     Args:
@@ -211,25 +215,35 @@
         stalled_s = soak_stalls.stalled_s(records.stalls, completed_s, end_s)
         if ready_s - stalled_s <= _WRITING_S:
             continue
-        start_s = records.started_s + exchange.sent_s - _RECOVERY_S
-        if any(
-            fault.start_s <= end_s
-            and fault.end_s >= start_s
-            and (fault.vms is None or exchange.vm in fault.vms)
-            for fault in records.link_faults.get(server, ())
+        if _had_link_fault(
+            records, server, exchange
         ) or _is_behind_work_in_stop(records, pipelined):
             continue
         held_back.append((pipelined, ready_s))
     return held_back
 
 
+def _had_link_fault(
+    records: Records, server: str, exchange: models.Exchange
+) -> bool:
+    """Returns whether the link to a server was faulty during a request."""
+    start_s = records.started_s + exchange.sent_s - _RECOVERY_S
+    end_s = records.started_s + exchange.ended_s
+    return any(
+        fault.start_s <= end_s
+        and fault.end_s >= start_s
+        and (fault.vms is None or exchange.vm in fault.vms)
+        for fault in records.link_faults.get(server, ())
+    )
+
+
 def _is_behind_work_in_stop(
     records: Records, behind: models.PipelinedExchange
 ) -> bool:
     """Returns whether a stopping gateway waited for a server's work.
 
     In a planned stop, a request at a server isn't broken off for those behind
-    it.
+    it. The gateway can't tell whether a server behind a faulty link is at work.
     """
     exchange = behind.exchange
     end_s = records.started_s + exchange.ended_s
@@ -237,7 +251,7 @@
     if terminated_s is None or terminated_s > end_s:
         return False
     ahead = {
-        e.exchange.request_id
+        e.exchange.request_id: e.exchange
         for e in records.exchanges
         if e.end is models.RequestEnd.LEFT_BY_CALLER
         and _caller_of(e.exchange) == _caller_of(exchange)
@@ -246,7 +260,7 @@
         and e.exchange.sent_s <= exchange.sent_s
         and e is not behind
     }
-    return any(
+    if any(
         execution.request_id in ahead
         and not any(
             c.request_id == execution.request_id and c.completed_s <= end_s
@@ -254,6 +268,12 @@
         )
         for server in records.servers
         for execution in server.executions
+    ):
+        return True
+    return any(
+        request_id in records.sent_to
+        and _had_link_fault(records, records.sent_to[request_id], first)
+        for request_id, first in ahead.items()
     )
 
 
--- a/berylweir/soak/runner.py
+++ b/berylweir/soak/runner.py
@@ -254,6 +254,11 @@
                 idle_limits=self._deployment.idle_limits,
                 stalls=self._stall_meter.stalls,
                 processor_waits=self._wait_meter.waits,
+                sent_to={
+                    request_id: server
+                    for gateway in self._gateways
+                    for request_id, server in gateway.read_sent_to().items()
+                },
             )
         )
 
--- a/tests/soak/test_pipelining_checks.py
+++ b/tests/soak/test_pipelining_checks.py
@@ -4,6 +4,7 @@
 
 import pytest
 
+from berylweir.soak import gateways
 from berylweir.soak import models
 from berylweir.soak import pipelining_checks
 from berylweir.soak import processor_waits
@@ -234,6 +235,43 @@
         lost = [v for v in result.violations if " r1 " in v]
         assert (lost == []) is is_excused
 
+    @pytest.mark.parametrize(
+        ("terminated_s", "sent_to", "is_excused"),
+        [
+            (4.0, {"r0": "s9"}, True),
+            (4.0, {"r0": "s0"}, False),
+            (4.0, {"r1": "s9"}, False),
+            (5.6, {"r0": "s9"}, False),
+            (None, {"r0": "s9"}, False),
+        ],
+    )
+    def test_faulty_link_in_front_excuses_a_request_in_a_stop(
+        self, terminated_s, sent_to, is_excused
+    ):
+        """Guards against demanding that a stop breaks off what was sent."""
+        behind = make_request(_LEFT, requests_ahead=1)
+        first = dataclasses.replace(
+            behind,
+            exchange=dataclasses.replace(behind.exchange, request_id="r0"),
+            requests_ahead=0,
+        )
+        fault = models.LinkDisruption(_STARTED_S + 5.2, _STARTED_S + 9.0, None)
+        result = pipelining_checks.check(
+            pipelining_checks.Records(
+                _STARTED_S,
+                [first, behind],
+                (),
+                [make_server(completed_s=5.1)],
+                terminated_s={}
+                if terminated_s is None
+                else {(0, 1): _STARTED_S + terminated_s},
+                link_faults={"s9": [fault]},
+                sent_to=sent_to,
+            )
+        )
+        lost = [v for v in result.violations if " r1 " in v]
+        assert (lost == []) is is_excused
+
 
 class TestIdleConnections:
     """Connections that gateways close while no request is on them."""
@@ -287,3 +325,19 @@
         in_force = models.VersionInForce(0, 1, 2, _STARTED_S + 4.9)
         stop = models.Disruption(0, _STARTED_S + 6.0, _STARTED_S + 9.0)
         assert not self.find_violations([in_force], interruptions=[stop])
+
+
+class TestLogs:
+    """Logs of gateways, which tell where requests were."""
+
+    def test_only_requests_at_a_server_count_as_sent(self, tmp_path):
+        """Guards against excusing a gateway that could give a request up."""
+        gateway = gateways.Gateway(0, 1, tmp_path)
+        lines = [
+            '{"message": "abandoned", "request": "r0", "sent_to": "s0"}',
+            '{"message": "abandoned", "request": "r1", "sent_to": null}',
+            '{"message": "answered", "request": "r2", "reason": "abandoned"}',
+            '{"message": "abandoned", "request": "r3", "sen',
+        ]
+        (tmp_path / "vm-0.log").write_text("\n".join(lines))
+        assert gateway.read_sent_to() == {"r0": "s0"}
