Measure answers behind downloads that break off, and decide on them

What callers saw: a server breaks off a large response, the gateway ends the connection, and complete answers of other servers behind it are lost.

bench/pipelining.py gets two scenarios, in which a tenth of the bursts begins with a download of 3 MB. It is left as it is.

--- a/bench/pipelining.py
+++ b/bench/pipelining.py
@@ -1,7 +1,8 @@
 """Measures how callers with pipelined requests are answered, for some builds.
 
 A real gateway runs as a process against stand-ins of the store and the servers.
-Each caller has one connection, with several requests of two kinds open at once.
+Each caller has one connection, with several requests of two kinds open at once,
+in some scenarios behind a download.
 It closes the connection at the shortest of their deadlines and sends those that
 have no answer again on a new one.
 """
@@ -30,12 +31,15 @@
 from berylweir.standin.gateway_platform import store as store_standin
 
 _RESULTS = pathlib.Path(__file__).parent / "results" / "pipelining.json"
-_DEPLOYMENT = "1 VM, 12 servers"
 _CALLERS = 40
 # Time between two bursts of a caller, and most requests in one.
 _MEAN_PAUSE_S = 0.6
 _MAX_BURST = 5
 _LOOK_UP_SHARE = 0.6
+# Share of the bursts that begin with a download, in scenarios with downloads.
+_DOWNLOAD_SHARE = 0.1
+# Longer than the responses that a gateway buffers.
+_DOWNLOAD_BODY = bytes(3_000_000)
 _MAX_RETRIES = 2
 _RETRY_STATUSES = (503, 504)
 _SETTLE_S = 1.5
@@ -65,6 +69,27 @@
     MUTE = "mute"
     # The servers of `SLOW` send nothing, again and again for a short time.
     FLAPPING = "flapping"
+    # Some bursts begin with a download.
+    DOWNLOADS = "downloads"
+    # The same, and two of four servers of downloads break off their responses.
+    BROKEN_DOWNLOADS = "broken downloads"
+
+    @property
+    def kinds(self) -> tuple["Kind", ...]:
+        """Kinds of the requests that are sent."""
+        match self:
+            case Scenario.DOWNLOADS | Scenario.BROKEN_DOWNLOADS:
+                return (*_KINDS, _DOWNLOAD)
+            case (
+                Scenario.CALM
+                | Scenario.SLOW
+                | Scenario.SLOW_FEW_SLOTS
+                | Scenario.MUTE
+                | Scenario.FLAPPING
+            ):
+                return _KINDS
+            case _:
+                typing.assert_never(self)
 
 
 class Retries(enum.Enum):
@@ -86,6 +111,7 @@
         aim_s: Time within which most answers should arrive, in seconds.
         work_s: Mean work of a request, in seconds.
         servers: Number of servers.
+        body: Body of their responses.
     """
 
     name: str
@@ -93,11 +119,13 @@
     aim_s: float
     work_s: float
     servers: int
+    body: bytes = b""
 
 
 _LOOK_UP = Kind("look_up", 2.5, 0.4, 0.12, 8)
 _SCHEDULE = Kind("schedule", 0.9, 0.15, 0.05, 4)
 _KINDS = (_LOOK_UP, _SCHEDULE)
+_DOWNLOAD = Kind("download", 2.5, 1.0, 0.12, 4, _DOWNLOAD_BODY)
 
 
 @dataclasses.dataclass(slots=True)
@@ -195,17 +223,24 @@
     servers: tuple[str, ...]
 
 
-Fault = Slow | Mute | Flapping
+@dataclasses.dataclass(frozen=True, slots=True)
+class Breaking:
+    """Servers that reset the connection after half of a response."""
+
+    servers: tuple[str, ...]
+
+
+Fault = Slow | Mute | Flapping | Breaking
 
 
 def _choose_fault(scenario: Scenario, rng: random.Random) -> Fault | None:
     names = {
         kind: [f"{kind.name}-{n}" for n in range(kind.servers)]
-        for kind in _KINDS
+        for kind in scenario.kinds
     }
     several = (*rng.sample(names[_LOOK_UP], 2), rng.choice(names[_SCHEDULE]))
     match scenario:
-        case Scenario.CALM:
+        case Scenario.CALM | Scenario.DOWNLOADS:
             return None
         case Scenario.SLOW | Scenario.SLOW_FEW_SLOTS:
             return Slow(several)
@@ -213,6 +248,8 @@
             return Mute(several[:1])
         case Scenario.FLAPPING:
             return Flapping(several)
+        case Scenario.BROKEN_DOWNLOADS:
+            return Breaking(tuple(rng.sample(names[_DOWNLOAD], 2)))
         case _:
             typing.assert_never(scenario)
 
@@ -224,6 +261,7 @@
 
     Attributes:
         factor: By how much its work takes longer than usual.
+        breaks_off: Whether it breaks off its responses.
         completed_s: When each try was completed, in seconds.
     """
 
@@ -237,6 +275,7 @@
             seed: Seed of the work.
         """
         self.factor = 1.0
+        self.breaks_off = False
         self.completed_s: dict[str, float] = {}
         self._kind = kind
         self._seed = seed
@@ -267,7 +306,11 @@
         self._server.service_s = work_s * self.factor
         response = await self._server.handle(request)
         await self._is_answering.wait()
-        if try_id and response.status == 200:
+        if response.status == 200 and self._kind.body:
+            response = dataclasses.replace(
+                response, body=self._kind.body, is_truncated=self.breaks_off
+            )
+        if try_id and response.status == 200 and not response.is_truncated:
             now_s = asyncio.get_running_loop().time()
             self.completed_s.setdefault(try_id, now_s)
         return response
@@ -283,6 +326,8 @@
         retries: Retries,
         seed: int,
         servers: list[WorkingServer],
+        *,
+        sends_downloads: bool = False,
     ) -> None:
         """Creates a caller that isn't connected.
 
@@ -292,12 +337,14 @@
             retries: Which requests are sent again.
             seed: Seed of the requests.
             servers: All servers, to look up what they have completed.
+            sends_downloads: Whether some bursts begin with a download.
         """
         self.requests: list[CallerRequest] = []
         self._name = name
         self._port = port
         self._retries = retries
         self._servers = servers
+        self._sends_downloads = sends_downloads
         self._rng = random.Random(f"{seed}:{name}")
         self._loop = asyncio.get_running_loop()
         self._messages: asyncio.Queue[Answered | Ended] = asyncio.Queue()
@@ -356,10 +403,13 @@
     async def _send_burst(self) -> None:
         now_s = self._loop.time()
         burst = []
-        for _ in range(self._rng.randint(1, _MAX_BURST)):
-            kind = (
-                _LOOK_UP if self._rng.random() < _LOOK_UP_SHARE else _SCHEDULE
-            )
+        kinds = [
+            _LOOK_UP if self._rng.random() < _LOOK_UP_SHARE else _SCHEDULE
+            for _ in range(self._rng.randint(1, _MAX_BURST))
+        ]
+        if self._sends_downloads and self._rng.random() < _DOWNLOAD_SHARE:
+            kinds.insert(0, _DOWNLOAD)
+        for kind in kinds:
             request_id = f"{self._name}-{len(self.requests)}"
             burst.append(CallerRequest(request_id, kind, now_s))
             self.requests.append(burst[-1])
@@ -512,6 +562,7 @@
                     self._run.retries,
                     self._run.seed,
                     list(self._servers.values()),
+                    sends_downloads=_DOWNLOAD in self._run.scenario.kinds,
                 )
                 for number in range(_CALLERS)
             ]
@@ -530,15 +581,16 @@
         store = store_standin.Store()
         store_port = await http.listen(stack, store.handle)
         configuration = server_standin.configuration_spec(
-            {kind.name: False for kind in _KINDS},
+            {kind.name: False for kind in self._run.scenario.kinds},
             [
                 server_standin.route_spec(
                     kind.name,
                     kind.name,
+                    kind="download" if kind is _DOWNLOAD else "safe",
                     timeout_ms=round(kind.deadline_s * 1000.0),
                     goal_ms=round(kind.aim_s * 1000.0),
                 )
-                for kind in _KINDS
+                for kind in self._run.scenario.kinds
             ],
         )
         await store.put("config", "main", configuration)
@@ -546,7 +598,7 @@
         slots = _FEW_SLOTS if has_few_slots else _SLOTS
         for kind, number in itertools.chain.from_iterable(
             ((kind, number) for number in range(kind.servers))
-            for kind in _KINDS
+            for kind in self._run.scenario.kinds
         ):
             server = WorkingServer(
                 f"{kind.name}-{number}", kind, slots, self._run.seed
@@ -589,6 +641,9 @@
             case Mute():
                 for server in servers:
                     server.set_mute(True)
+            case Breaking():
+                for server in servers:
+                    server.breaks_off = True
             case Flapping():
                 async with asyncio.TaskGroup() as group:
                     for server in servers:
@@ -600,6 +655,7 @@
         for server in servers:
             server.factor = 1.0
             server.set_mute(False)
+            server.breaks_off = False
 
     async def _flap(self, server: WorkingServer, duration_s: float) -> None:
         with contextlib.suppress(TimeoutError):
@@ -617,6 +673,8 @@
 ) -> list[Record]:
     records = []
 
+    servers = sum(kind.servers for kind in run.scenario.kinds)
+
     def add(metric: str, value: float | None, unit: str) -> None:
         scenario = run.scenario.value
         match run.retries:
@@ -628,13 +686,19 @@
                 typing.assert_never(run.retries)
         records.append(
             Record(
-                scenario, _DEPLOYMENT, run.policy, run.seed, metric, value, unit
+                scenario,
+                f"1 VM, {servers} servers",
+                run.policy,
+                run.seed,
+                metric,
+                value,
+                unit,
             )
         )
 
     add("callers.max_delay", round(max_delay_s * 1000.0, 1), "ms")
     add("machine.load_average_1min", round(os.getloadavg()[0], 2), "tasks")
-    for kind in _KINDS:
+    for kind in run.scenario.kinds:
         own = [r for r in requests if r.kind is kind]
         served = [r for r in own if r.is_served]
         in_time = [r for r in served if r.time_s <= kind.deadline_s]
