--- a/berylweir/gateway/exchange/stopping.py
+++ b/berylweir/gateway/exchange/stopping.py
@@ -6,9 +6,10 @@
 import typing
 
 # Time before the connections of callers end at which requests that are still
-# running are answered, so that the answers can be sent, in seconds. Together
-# with the time reserved for the end of the process it is less than the last
-# sixth of the grace period. Work may be broken off only in that part.
+# running are answered, so that the answers can be sent, in seconds. The
+# platform expects that work is broken off only in the last sixth of the grace
+# period. With the time that is reserved for the end of the process, it lies in
+# there for grace periods of 4.8 s and more.
 _LAST_ANSWERS_S = 0.2
 
 
