Treat a hangup as a planned stop in programs without a reload

SIGHUP ended routers, keepers, APIs and stand-ins at once (status -1), also amid a planned stop, which cut off the requests in flight and left the leases.

Only programs that read their settings again handled the signal, so the others had the default of the system.

They now take it for SIGTERM: it begins a planned stop, and a further one has no effect.

--- a/berylweir/process.py
+++ b/berylweir/process.py
@@ -22,16 +22,17 @@
     log_handler: logging.Handler | None = None,
     on_reload: Callable[[], None] | None = None,
 ) -> None:
-    """Runs a supervisor tree until SIGTERM or SIGINT.
+    """Runs a supervisor tree until SIGTERM, SIGINT or SIGHUP.
 
-    Further SIGTERMs don't shorten the shutdown. A second SIGINT, as Ctrl-C
-    sends it in a terminal, cancels the tree without waiting for the shutdown.
+    Further signals don't shorten the shutdown, except for a second SIGINT, as
+    Ctrl-C sends it in a terminal: it cancels the tree without waiting for the
+    shutdown.
 
     Args:
         root: Root of the tree.
         log_level: Lowest level of the log messages that are written.
         log_handler: Handler of the log messages; None for standard error.
-        on_reload: Called on SIGHUP. If None, SIGHUP ends the process.
+        on_reload: Called on SIGHUP, which then doesn't stop the tree.
     """
     logs.configure(log_level, log_handler)
     uvloop.run(_run_until_signal(root, on_reload))
@@ -59,13 +60,15 @@
 
     loop.add_signal_handler(signal.SIGTERM, on_terminate)
     loop.add_signal_handler(signal.SIGINT, on_interrupt)
-    if on_reload is not None:
 
-        def on_reload_signal() -> None:
-            _LOGGER.info("reloading")
-            on_reload()
+    def on_hangup() -> None:
+        if on_reload is None:
+            on_terminate()
+            return
+        _LOGGER.info("reloading")
+        on_reload()
 
-        loop.add_signal_handler(signal.SIGHUP, on_reload_signal)
+    loop.add_signal_handler(signal.SIGHUP, on_hangup)
     _LOGGER.info("started", extra={"build": build_id.build_id()})
     try:
         await supervisor.run_root(root, stop_event)
--- a/tests/test_programs.py
+++ b/tests/test_programs.py
@@ -3,6 +3,7 @@
 import asyncio
 from collections.abc import Iterator
 import pathlib
+import signal
 import subprocess
 import sys
 
@@ -75,6 +76,88 @@
             assert stored.is_ok(), stored
 
 
+def _write_settings(path: pathlib.Path) -> None:
+    platform, keeper, link, status, router, peer, api = ports_module.free_ports(
+        7
+    )
+    path.write_text(
+        "[vm]\nname = vm-0\navailability_zone = a\n"
+        f"[platform]\nurl = http://{_HOST}:{platform}\n"
+        f"[keeper]\nport = {keeper}\nlink_port = {link}\n"
+        f"status_port = {status}\n"
+        f"[router]\nport = {router}\npeer_port = {peer}\n"
+        f"[api]\nport = {api}\n"
+    )
+
+
+@pytest.mark.parametrize(
+    "program", ["platform", "backend", "keeper", "router", "api"]
+)
+class TestSignals:
+    """Signals in series, to programs that don't read settings again."""
+
+    def _start(
+        self, program: str, tmp_path: pathlib.Path
+    ) -> subprocess.Popen[bytes]:
+        """Starts a program and waits until it handles signals."""
+        (port,) = ports_module.free_ports(1)
+        settings = tmp_path / "vm.ini"
+        _write_settings(settings)
+        module, arguments = {
+            "platform": ("standin", ["platform", "--port", str(port)]),
+            "backend": ("standin", ["backend", "s", "--port", str(port)]),
+        }.get(program, (program, [str(settings)]))
+        process = subprocess.Popen(
+            [
+                sys.executable,
+                "-c",
+                f"from berylweir.{module}.program import main; main()",
+                *arguments,
+            ],
+            stderr=subprocess.PIPE,
+        )
+        assert process.stderr is not None
+        while b'"started"' not in (line := process.stderr.readline()):
+            assert line, "the program ended"
+        return process
+
+    def _stop(
+        self, process: subprocess.Popen[bytes], *numbers: signal.Signals
+    ) -> tuple[int, bytes]:
+        """Sends signals; returns the exit status and the last log lines.
+
+        The others follow as soon as the program has handled the first, since
+        the kernel merges equal signals that are pending.
+        """
+        assert process.stderr is not None
+        try:
+            process.send_signal(numbers[0])
+            while b'"stopping"' not in (line := process.stderr.readline()):
+                assert line, "the program ended without a shutdown"
+            for number in numbers[1:]:
+                process.send_signal(number)
+            _, log = process.communicate(timeout=_STOP_TIMEOUT_S)
+        finally:
+            process.kill()
+            process.wait()
+        return process.returncode, log
+
+    @pytest.mark.parametrize(
+        "numbers",
+        [
+            (signal.SIGHUP, signal.SIGTERM, signal.SIGHUP, signal.SIGINT),
+            (signal.SIGTERM, signal.SIGHUP, signal.SIGTERM, signal.SIGINT),
+        ],
+        ids=["hangup first", "hangup later"],
+    )
+    def test_series_is_a_planned_stop(self, program, numbers, tmp_path):
+        """Guards against a hangup that ends a program without a shutdown."""
+        process = self._start(program, tmp_path)
+        status, log = self._stop(process, *numbers)
+        assert status == 0
+        assert b"Traceback" not in log
+
+
 class TestPrograms:
     """Programs of the stand-ins, the keeper and the router."""
 
