Exit with 130 and without a traceback after a second interrupt

Pressing Ctrl-C twice printed a traceback of asyncio and ended the program with status 1, which supervisors of processes take for a crash.

The cancellation of the tree left run_tree as a CancelledError.

The program now logs that it didn't wait for the shutdown, and exits with 130.

tests/test_programs.py::TestSignals::test_second_interrupt_has_a_status_of_its_own failed for all 5 programs before (status 1) and passes now, 3 times in a row.

--- a/berylweir/process.py
+++ b/berylweir/process.py
@@ -14,6 +14,8 @@
 _LOGGER = logging.getLogger(__name__)
 # Exit status if the settings are invalid.
 EXIT_INVALID_SETTINGS = 2
+# Exit status after a second SIGINT: 128 plus its number, as shells report it.
+EXIT_INTERRUPTED = 130
 
 
 def run_tree(
@@ -33,27 +35,33 @@
         log_level: Lowest level of the log messages that are written.
         log_handler: Handler of the log messages; None for standard error.
         on_reload: Called on SIGHUP, which then doesn't stop the tree.
+
+    Raises:
+        SystemExit: If a second SIGINT has cancelled the tree.
     """
     logs.configure(log_level, log_handler)
-    uvloop.run(_run_until_signal(root, on_reload))
+    if not uvloop.run(_run_until_signal(root, on_reload)):
+        raise SystemExit(EXIT_INTERRUPTED)
 
 
 async def _run_until_signal(
     root: supervisor.Supervisor, on_reload: Callable[[], None] | None
-) -> None:
+) -> bool:
+    """Returns whether the tree has stopped without being cancelled."""
     stop_event = asyncio.Event()
     loop = asyncio.get_running_loop()
     main_task = asyncio.current_task()
 
-    has_interrupt = False
+    has_interrupt = is_cancelled = False
 
     def on_terminate() -> None:
         _LOGGER.info("stopping")
         stop_event.set()
 
     def on_interrupt() -> None:
-        nonlocal has_interrupt
+        nonlocal has_interrupt, is_cancelled
         if has_interrupt and main_task is not None:
+            is_cancelled = True
             main_task.cancel()
         has_interrupt = True
         on_terminate()
@@ -72,6 +80,11 @@
     _LOGGER.info("started", extra={"build": build_id.build_id()})
     try:
         await supervisor.run_root(root, stop_event)
+    except asyncio.CancelledError:
+        if not is_cancelled:
+            raise
+        _LOGGER.warning("stopped without waiting for the shutdown")
+        return False
     finally:
         # The handlers end with the event loop, and a signal would then end the
         # process with a status that supervisors take for a crash.
@@ -79,3 +92,4 @@
             loop.remove_signal_handler(number)
             signal.signal(number, signal.SIG_IGN)
         _LOGGER.info("stopped")
+    return True
--- a/tests/test_programs.py
+++ b/tests/test_programs.py
@@ -157,6 +157,13 @@
         assert status == 0
         assert b"Traceback" not in log
 
+    def test_second_interrupt_has_a_status_of_its_own(self, program, tmp_path):
+        """Guards against a traceback for the user who presses Ctrl-C twice."""
+        process = self._start(program, tmp_path)
+        status, log = self._stop(process, signal.SIGINT, signal.SIGINT)
+        assert status == 130
+        assert b"Traceback" not in log
+
 
 class TestPrograms:
     """Programs of the stand-ins, the keeper and the router."""
