Heed a stop while children start or wait for their restart

SIGTERM during the start of a program, or while a crashed child waits for its restart, had no effect until the children had started. If a child didn't become ready within its start timeout, the planned stop ended as a failed start, with status 1.

The supervisor checked for a stop only once all children were ready, and not during a backoff.

A stop now ends both waits, and no further child is started.

Both tests of tests/supervision/test_supervisor.py::TestStopBeforeReady failed before (no end within 10 s) and pass now; pytest tests/supervision tests/test_programs.py passes.

--- a/berylweir/supervision/supervisor.py
+++ b/berylweir/supervision/supervisor.py
@@ -91,6 +91,7 @@
         self._random = random.Random(seed)
         self._children: dict[str, _RunningChild] = {}
         self._restarts: collections.deque[float] = collections.deque()
+        self._stop_event = asyncio.Event()
 
     async def run(self, context: models.ChildContext) -> None:
         """Runs the children until `context.stop_event` is set.
@@ -103,9 +104,12 @@
             ChildStartTimeout: If a child isn't ready within its start
                 timeout.
         """
+        self._stop_event = context.stop_event
         try:
             for spec in self._specs:
                 await self._start(spec)
+                if self._stop_event.is_set():
+                    return
             context.report_ready()
             await self._supervise(context.stop_event)
         except asyncio.CancelledError:
@@ -118,22 +122,31 @@
             await self._stop_all(tuple(self._children))
 
     async def _start(self, spec: models.ChildSpec) -> None:
-        """Starts a child and waits until it is ready or has ended."""
+        """Starts a child and waits until it is ready or has ended.
+
+        A stop of the supervisor ends the wait.
+        """
         child_context = models.ChildContext(contextlib.AsyncExitStack())
         task = asyncio.create_task(
             _run_child(spec, child_context), name=f"{self._name}/{spec.name}"
         )
         self._children[spec.name] = _RunningChild(spec, child_context, task)
         ready_waiter = asyncio.create_task(child_context.ready_event.wait())
+        stop_waiter = asyncio.create_task(self._stop_event.wait())
         try:
             await asyncio.wait(
-                (task, ready_waiter),
+                (task, ready_waiter, stop_waiter),
                 timeout=spec.start_timeout_s,
                 return_when=asyncio.FIRST_COMPLETED,
             )
         finally:
             ready_waiter.cancel()
-        if not child_context.ready_event.is_set() and not task.done():
+            stop_waiter.cancel()
+        if not (
+            child_context.ready_event.is_set()
+            or task.done()
+            or self._stop_event.is_set()
+        ):
             raise exceptions.ChildStartTimeout(spec.name, spec.start_timeout_s)
 
     async def _supervise(self, stop_event: asyncio.Event) -> None:
@@ -147,7 +160,7 @@
                 if stop_event.is_set():
                     return
                 for child in tuple(self._children.values()):
-                    if child.task.done():
+                    if child.task.done() and not stop_event.is_set():
                         await self._handle_exit(child)
         finally:
             stop_waiter.cancel()
@@ -196,8 +209,12 @@
         await self._stop_all(
             tuple(s.name for s in affected if s.name in self._children)
         )
-        await asyncio.sleep(self._random.uniform(0.0, max_delay_s))
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(self._random.uniform(0.0, max_delay_s)):
+                await self._stop_event.wait()
         for child_spec in affected:
+            if self._stop_event.is_set():
+                return
             await self._start(child_spec)
 
     def _children_to_restart(
--- a/tests/supervision/test_supervisor.py
+++ b/tests/supervision/test_supervisor.py
@@ -107,3 +107,62 @@
         spec = models.ChildSpec("slow", run, start_timeout_s=0.01)
         with pytest.raises(exceptions.ChildStartTimeout):
             await supervisor.Supervisor("tree", [spec]).run(_context())
+
+
+class TestStopBeforeReady:
+    """A stop while children start, or wait for their restart."""
+
+    async def test_stop_does_not_wait_for_the_start(self):
+        """Guards against a stop that ends as a start that took too long."""
+        recorder = Recorder()
+        context = _context()
+
+        async def start_slowly(child: models.ChildContext) -> None:
+            recorder.events.append("start slowly")
+            await child.stop_event.wait()
+
+        parent = supervisor.Supervisor(
+            "tree",
+            [
+                recorder.child("a"),
+                models.ChildSpec("slow", start_slowly, start_timeout_s=60.0),
+                recorder.child("b"),
+            ],
+        )
+        task = asyncio.create_task(parent.run(context))
+        async with asyncio.timeout(10.0):
+            while "start slowly" not in recorder.events:
+                await asyncio.sleep(0)
+            context.stop_event.set()
+            await task
+        assert recorder.events == ["start a", "start slowly", "close a"]
+        assert not context.ready_event.is_set()
+
+    async def test_stop_does_not_wait_for_the_backoff(self):
+        """Guards against a stop that starts a crashed child once more."""
+        starts = 0
+
+        async def crash(child: models.ChildContext) -> None:
+            nonlocal starts
+            starts += 1
+            child.report_ready()
+            raise ValueError
+
+        crashed = asyncio.Event()
+        parent = supervisor.Supervisor(
+            "tree",
+            [
+                models.ChildSpec(
+                    "a", crash, backoff=models.Backoff(3600.0, max_s=3600.0)
+                )
+            ],
+            on_event=lambda _: crashed.set(),
+            seed=1,
+        )
+        context = _context()
+        task = asyncio.create_task(parent.run(context))
+        async with asyncio.timeout(10.0):
+            await crashed.wait()
+            context.stop_event.set()
+            await task
+        assert starts == 1
