Cancel the tree if a second interrupt follows the first at once

A second Ctrl-C that arrived together with the first one had no effect: the program waited for the whole shutdown (2.9 s for a gateway), and ended with the status of an interrupted one.

The cancellation then met the root while it still waited for the stop, and the root took it as a request for a planned stop.

It now cancels the tree.

tests/supervision/test_supervisor.py::TestRoot failed before (no end within 10 s) and passes now; pytest tests/supervision tests/test_programs.py tests/gateway/test_program.py tests/gateway/test_stop.py tests/router/test_shutdown.py passes.

--- a/berylweir/supervision/supervisor.py
+++ b/berylweir/supervision/supervisor.py
@@ -245,6 +245,8 @@
 async def run_root(supervisor: Supervisor, stop_event: asyncio.Event) -> None:
     """Runs `supervisor` as the root of a tree until `stop_event` is set.
 
+    A cancellation ends the tree without a shutdown.
+
     Args:
         supervisor: Root of the tree.
         stop_event: Ends the tree when it is set.
@@ -265,5 +267,6 @@
         finally:
             stop_waiter.cancel()
             if not task.done():
-                context.stop_event.set()
+                # This task was cancelled before it began to wait for that one.
+                task.cancel()
                 await asyncio.wait((task,))
--- a/tests/supervision/test_supervisor.py
+++ b/tests/supervision/test_supervisor.py
@@ -166,3 +166,33 @@
             context.stop_event.set()
             await task
         assert starts == 1
+
+
+class TestRoot:
+    """The root of a tree."""
+
+    async def test_cancellation_does_not_wait_for_the_shutdown(self):
+        """Guards against a second Ctrl-C without effect if it follows at once.
+
+        The root hasn't seen the stop yet when it is cancelled.
+        """
+        recorder = Recorder()
+
+        async def drain(child: models.ChildContext) -> None:
+            child.report_ready()
+            recorder.events.append("start drain")
+            await child.stop_event.wait()
+            await asyncio.sleep(3600.0)
+
+        stop_event = asyncio.Event()
+        parent = supervisor.Supervisor(
+            "tree", [models.ChildSpec("drain", drain, stop_timeout_s=60.0)]
+        )
+        task = asyncio.create_task(supervisor.run_root(parent, stop_event))
+        async with asyncio.timeout(10.0):
+            while "start drain" not in recorder.events:
+                await asyncio.sleep(0)
+            stop_event.set()
+            task.cancel()
+            await asyncio.wait((task,))
+        assert task.cancelled()
