Say whether an upgrade may go on

berylweirctl builds ends with what the operator may do next: go on or back and replace the lease holder last, or wait because no registered VM holds the lease or because more than three builds run. The JSON has it as obstacle.

Measured: pytest tests/ctl/test_builds.py: 3 failed before, 6 pass.

--- a/berylweir/ctl/builds.py
+++ b/berylweir/ctl/builds.py
@@ -5,6 +5,8 @@
 
 import collections
 from collections.abc import Sequence
+import enum
+import typing
 from typing import Any
 
 import result
@@ -17,6 +19,15 @@
 _Outcome = result.Result[None, exceptions.Failure]
 # Shown for builds up to 0254d82, which state none.
 _UNSTATED_BUILD = "unknown"
+# Builds that may run side by side; see docs/upgrades.md.
+_MAX_BUILDS = 3
+
+
+class Obstacle(enum.Enum):
+    """Why no further VM should be replaced now."""
+
+    NO_LEASE_HOLDER = "no_lease_holder"
+    TOO_MANY_BUILDS = "too_many_builds"
 
 
 def show(address: str, *, as_json: bool) -> _Outcome:
@@ -38,10 +49,12 @@
     rows = [_row(vm, holds_lease=vm.name == holder) for vm in vms]
     counts = collections.Counter(row["build"] for row in rows)
     missing = missing_capabilities(vms)
+    obstacle = find_obstacle(vms, holder)
     report = {
         "vms": rows,
         "builds": dict(counts),
         "capabilities_missing_on": missing,
+        "obstacle": None if obstacle is None else obstacle.value,
     }
     output.show(rows, report, as_json=as_json)
     if not as_json:
@@ -49,9 +62,40 @@
             print(f"{build}: {count} of {len(vms)} VMs")
         for capability, names in missing.items():
             print(f"{capability}: not on {', '.join(names)}")
+        print(_advise(obstacle, holder))
     return result.Ok(None)
 
 
+def _advise(obstacle: Obstacle | None, holder: str) -> str:
+    """Returns what the operator may do next."""
+    match obstacle:
+        case None:
+            return f"the fleet may go on or back; replace {holder} last"
+        case Obstacle.NO_LEASE_HOLDER:
+            return "wait: no registered VM holds the lease"
+        case Obstacle.TOO_MANY_BUILDS:
+            return (
+                f"wait: more than {_MAX_BUILDS} builds run; replace the VMs of "
+                "the oldest one first"
+            )
+        case _:
+            typing.assert_never(obstacle)
+
+
+def find_obstacle(vms: Sequence[models.Vm], holder: str) -> Obstacle | None:
+    """Returns why no further VM should be replaced now; None if one may be.
+
+    Args:
+        vms: All registered VMs.
+        holder: Name of the VM that holds the lease; empty if none does.
+    """
+    if holder not in {vm.name for vm in vms}:
+        return Obstacle.NO_LEASE_HOLDER
+    if len({vm.build for vm in vms}) > _MAX_BUILDS:
+        return Obstacle.TOO_MANY_BUILDS
+    return None
+
+
 def _row(vm: models.Vm, *, holds_lease: bool) -> dict[str, Any]:
     return {
         "vm": vm.name,
--- a/tests/ctl/test_builds.py
+++ b/tests/ctl/test_builds.py
@@ -73,6 +73,23 @@
         assert "aa: 1 of 2 VMs" in printed
         assert "x: not on vm-1" in printed
 
+    @pytest.mark.parametrize(
+        ("vms", "obstacle"),
+        [
+            ([vm("vm-0", "aa"), vm("vm-1", "bb")], None),
+            ([vm("vm-0", "aa"), vm("vm-2", "aa")], "no_lease_holder"),
+            ([vm(f"vm-{n}", f"b{n}") for n in range(4)], "too_many_builds"),
+        ],
+    )
+    async def test_operator_goes_on_too_early(self, capsys, vms, obstacle):
+        """Guards against one more replacement while the fleet isn't settled."""
+        assert await self.show(vms, "--json") == 0
+        assert json.loads(capsys.readouterr().out)["obstacle"] == obstacle
+        assert await self.show(vms) == 0
+        printed = capsys.readouterr().out
+        last = "replace vm-1 last" if obstacle is None else "wait"
+        assert last in printed
+
     async def test_an_unreachable_store_looks_like_an_empty_fleet(self):
         """Guards against scripts that go on after a failure."""
         code = await asyncio.to_thread(
