Count the end of a pause when the other servers are full

What callers saw: a refusal at once, with the time until a full server has capacity as Retry-After, although the pause of another server of the group, or its limit, ended earlier and before the deadline.

Cause: the wait was that of the full servers only.

Change: it is the shorter one of theirs and of what the others have stated.

Measured: pytest tests/gateway/dispatch -k hidden_by_a_full_one: 1 failed before (Retry-After 333 s beside a pause of 1 s), passes; tests/gateway/dispatch: no failure.

--- a/berylweir/gateway/dispatch/availability.py
+++ b/berylweir/gateway/dispatch/availability.py
@@ -1,6 +1,7 @@
 """Selects the servers whose statements allow a request."""
 
 from collections.abc import Sequence
+import typing
 
 from berylweir.gateway import messages
 from berylweir.gateway.dispatch import decisions
@@ -12,6 +13,36 @@
 _LEAVING_USE_SHARE = 0.6
 
 
+def time_until_available_s(
+    servers: Sequence[dispatch.ServerState],
+    queue_deadline_s: float,
+    now_s: float,
+) -> float:
+    """Returns when the first pause ends or limit allows a request, in seconds.
+
+    It is infinite if none of the servers has stated any.
+
+    Args:
+        servers: The servers.
+        queue_deadline_s: Until when the request may wait for a server, on the
+            loop's clock, in seconds.
+        now_s: Time on that clock, in seconds.
+    """
+    wait_s = float("inf")
+    for server in servers:
+        server_availability = decisions.check_statements(
+            server, queue_deadline_s, now_s, leaving_use_s=0.0
+        )
+        match server_availability:
+            case decisions.Paused(until_s) | decisions.LimitReached(until_s):
+                wait_s = min(wait_s, until_s - now_s)
+            case decisions.Available() | decisions.Leaving():
+                pass
+            case _:
+                typing.assert_never(server_availability)
+    return wait_s
+
+
 def is_still_available(
     state: dispatch.ServerState,
     now_s: float,
--- a/berylweir/gateway/dispatch/placement.py
+++ b/berylweir/gateway/dispatch/placement.py
@@ -223,7 +223,10 @@
         )
         if state is None:
             capacity_wait_s = min(
-                decisions.time_until_capacity_s(s, now_s) for s in untried
+                *(decisions.time_until_capacity_s(s, now_s) for s in untried),
+                availability.time_until_available_s(
+                    eligible, requirements.queue_deadline_s, now_s
+                ),
             )
             return refusals.create(_Reason.FULL, capacity_wait_s)
         return self._assign_server(place_request, state, group, now_s)
--- a/tests/gateway/dispatch/test_task.py
+++ b/tests/gateway/dispatch/test_task.py
@@ -282,6 +282,28 @@
             assert refusal.reason is messages.RefusalReason.PAUSED
             assert 4.0 < refusal.retry_after_s <= 5.0
 
+    async def test_paused_server_is_hidden_by_a_full_one(self):
+        """Guards against refusals though a pause ends before the deadline."""
+        other = models.BackendServer(
+            "t", 1, "g", "127.0.0.1", 2, "a", _SLOTS, False, 0.0, 1
+        )
+        async with DispatcherHarness(models.Bounds()) as harness:
+            placement = await harness.place()
+            full = models.ServerStatements(models.Load(3, 10_000, 3, 1.0))
+            harness.finish(placement, statements=full)
+            harness.inbox.post(
+                messages.ServersChanged({"s": harness.server, "t": other})
+            )
+            placement = await harness.place()
+            assert placement.server == other
+            paused = models.ServerStatements(pause=models.Pause(1.0))
+            harness.finish(placement, messages.AttemptResult.SHED, paused)
+            refusal = await harness.place(wait_s=0.2)
+            assert refusal.retry_after_s <= 1.0
+            async with asyncio.timeout(20.0):
+                placement = await harness.place(wait_s=5.0)
+            assert placement.server == other
+
     @pytest.mark.parametrize("key", [None, 7])
     async def test_request_waits_for_a_cold_server_in_a_pause(self, key):
         """Guards against callers that wait although no server can be in time.
