Check in the soak that keys move after all faults

Cause: all checks look for wrong owners, and none for moves that don't happen.

Change: the class UNEVEN_LOAD ends all faults 30 s before the end, loads some keys of one server, and requires that one of them is moved within 22.5 s: the longest authority of an earlier holder, the longest grant, and 6 s for reports.

--- a/berylweir/soak/callers.py
+++ b/berylweir/soak/callers.py
@@ -1,6 +1,7 @@
 """Callers that keep a connection open until the gateway closes it."""
 
 import asyncio
+from collections.abc import Sequence
 import random
 import time
 
@@ -17,15 +18,22 @@
 # longest freeze of a gateway.
 _RESPONSE_TIMEOUT_S = 8.0
 _CONNECT_TIMEOUT_S = 1.0
-# Keys are integers from 0 up to this number, exclusive.
-_KEY_COUNT = 65_536
+_ROUTES = ("safe", "unsafe", "keyed")
+_KEYS = range(65_536)
 
 
 class Caller:
     """Sends one request after the other to one gateway."""
 
     def __init__(
-        self, name: str, gateway: gateways.Gateway, started_s: float, seed: str
+        self,
+        name: str,
+        gateway: gateways.Gateway,
+        started_s: float,
+        seed: str,
+        *,
+        routes: Sequence[str] = _ROUTES,
+        keys: Sequence[int] = _KEYS,
     ) -> None:
         """Creates a caller.
 
@@ -35,7 +43,11 @@
             started_s: Start of the soak, on the monotonic clock, in seconds.
             seed: Seed of the routes, keys and pauses; equal seeds give equal
                 ones.
+            routes: Routes of its requests.
+            keys: Keys of its requests.
         """
+        self._routes = routes
+        self._keys = keys
         self._name = name
         self._gateway = gateway
         self._started_s = started_s
@@ -84,14 +96,14 @@
         """
         number = len(self._exchanges)
         request_id = f"{self._name}-{number}"
-        route = self._rng.choice(("safe", "unsafe", "keyed"))
+        route = self._rng.choice(self._routes)
         path = f"/{route}/{number}"
         request = caller.encode_request(
             path,
             request_id,
             _DEADLINE_MS,
             is_repeatable=route != "unsafe",
-            key=self._rng.randrange(_KEY_COUNT),
+            key=self._rng.choice(self._keys),
         )
         sent_s = self._now_s()
         response: caller.Response | None = None
--- a/berylweir/soak/fault_classes.py
+++ b/berylweir/soak/fault_classes.py
@@ -54,6 +54,8 @@
     """
     scheduled_faults = []
     for fault_class in classes:
+        if fault_class not in _PLANS:
+            continue  # It has no faults of its own.
         rng = random.Random(f"{seed}/{fault_class.value}")
         choose, max_pause_s = _PLANS[fault_class]
         start_s = fault_schedule.FAULT_FREE_MARGIN_S
--- a/berylweir/soak/models.py
+++ b/berylweir/soak/models.py
@@ -304,6 +304,7 @@
 
     FROZEN_HOLDER = "frozen_holder"  # Restorations under a frozen holder.
     LATE_COPIES = "late_copies"  # Answers of servers that arrive again.
+    UNEVEN_LOAD = "uneven_load"  # Busy keys, once all faults have ended.
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/berylweir/soak/program.py
+++ b/berylweir/soak/program.py
@@ -78,6 +78,8 @@
         print(f"seed {seed}: {soak_run.isolated_counts}")
     if pipelining:
         print(f"seed {seed}: {soak_run.pipelining_result}")
+    if models.FaultClass.UNEVEN_LOAD in (classes or ()):
+        print(f"seed {seed}: a key was moved after {soak_run.moved_after_s} s")
     print(f"seed {seed}: {len(violations)} broken")
     if violations:
         sys.exit(1)
--- a/berylweir/soak/runner.py
+++ b/berylweir/soak/runner.py
@@ -30,6 +30,7 @@
 from berylweir.soak import rollouts
 from berylweir.soak import stalls
 from berylweir.soak import statement_checks
+from berylweir.soak import uneven_load
 from berylweir.standin.gateway_platform import store as store_standin
 
 _LOGGER = logging.getLogger(__name__)
@@ -114,6 +115,12 @@
         self._store_faults: list[models.Disruption] = []
         self._violations: list[str] = []
         self._started_s = time.monotonic()
+        self._uneven_load = uneven_load.UnevenLoad((), (), 0.0, "")
+
+    @property
+    def moved_after_s(self) -> float | None:
+        """Time until a busy key was moved, after `run`, in seconds."""
+        return self._uneven_load.moved_after_s
 
     @property
     def isolated_counts(self) -> isolation_checks.ServedCounts:
@@ -135,6 +142,12 @@
         async with contextlib.AsyncExitStack() as stack:
             await self._start_deployment(stack)
             self._started_s = time.monotonic()
+            self._uneven_load = uneven_load.UnevenLoad(
+                self._gateways,
+                self._deployment.servers,
+                self._started_s,
+                f"{self._seed}/uneven-load",
+            )
             request_callers = [
                 callers.Caller(
                     f"c{gateway.vm}-{number}",
@@ -163,7 +176,7 @@
                 )
                 if self._has_harmful_request:
                     check_tasks.append(group.create_task(harmful_caller.run()))
-                fault_task = group.create_task(self._inject_faults())
+                fault_task = group.create_task(self._disturb())
                 await asyncio.gather(
                     *(c.run(self._seconds) for c in request_callers),
                     *(c.run(self._seconds) for c in pipelining),
@@ -173,7 +186,10 @@
                     check_task.cancel()
             exchanges = [
                 e
-                for request_caller in request_callers
+                for request_caller in (
+                    *request_callers,
+                    *self._uneven_load.callers,
+                )
                 for e in request_caller.exchanges
             ]
         answered_count = sum(e.status == 200 for e in exchanges)
@@ -198,6 +214,7 @@
         self._pipelining_result = self._check_pipelining(pipelining)
         return (
             self._violations
+            + self._uneven_load.violations
             + self._pipelining_result.violations
             + self._live_checks.violations
             + checks.find_violations(
@@ -286,6 +303,12 @@
         process_id = origins.find_process(local_port, remote_port, vms)
         return vms[process_id] if process_id is not None else None
 
+    async def _disturb(self) -> None:
+        """Injects the faults, and what is to be checked after the last one."""
+        await self._inject_faults()
+        if models.FaultClass.UNEVEN_LOAD in self._classes:
+            await self._uneven_load.run(self._seconds)
+
     # Faults
 
     async def _inject_faults(self) -> None:
@@ -311,6 +334,9 @@
             self._classes,
         )
         schedule.sort(key=lambda scheduled: scheduled.start_s)
+        if models.FaultClass.UNEVEN_LOAD in self._classes:
+            last_s = self._seconds - uneven_load.QUIET_S
+            schedule = [s for s in schedule if s.start_s < last_s]
         async with asyncio.TaskGroup() as group:
             for scheduled_fault in schedule:
                 pause_s = (
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -24,6 +24,8 @@
 _PIPELINING_SECONDS = 10.5
 # Length of the soaks with a further class of faults, in seconds.
 _CLASS_SECONDS = 25.0
+# The same with a time without faults at the end.
+_UNEVEN_SECONDS = 45.0
 # Seeds that failed once, each with the cause of its failure.
 _REGRESSIONS = (
     2,  # SIGHUP ended a gateway that had just started.
@@ -127,6 +129,17 @@
         )
         assert await soak.run() == []
 
+    async def test_keys_move_after_disruptions(self, tmp_path: pathlib.Path):
+        """Guards against a holder that plans no moves any more."""
+        soak = runner.Soak(
+            1,
+            _UNEVEN_SECONDS,
+            tmp_path,
+            classes=[models.FaultClass.UNEVEN_LOAD],
+        )
+        assert await soak.run() == []
+        assert soak.moved_after_s is not None
+
 
 class TestRollouts:
     """Changes of the build amid the other faults."""
@@ -227,7 +240,14 @@
             for fault_class in models.FaultClass
         ]
         together = fault_classes.generate(5, 60.0, 8, list(models.FaultClass))
-        assert all(alone)
+        without_faults = {models.FaultClass.UNEVEN_LOAD}
+        assert {
+            fault_class
+            for fault_class, faults in zip(
+                models.FaultClass, alone, strict=True
+            )
+            if not faults
+        } == without_faults
         assert together == [fault for faults in alone for fault in faults]
 
     def test_usual_faults_remain_beside_classes(self):
