Write odd entries into the store in the soak

The soak never wrote an entry that can't be read, so it couldn't meet one that stops service discovery.

Cause: all objects of its store are those of sound writers, and no check compares the requests that a gateway serves with those that it gets.

Change: the class ODD_ENTRIES writes entries of nine shapes (missing members, wrong types, unknown states, half surrogates, depth, huge numbers, duplicate members, truncated UTF-8, no object) of any kind, and kills a gateway beside them. An instance that serves less than a quarter of its requests without another fault is a violation.

--- a/berylweir/soak/deployment.py
+++ b/berylweir/soak/deployment.py
@@ -10,6 +10,7 @@
 from berylweir.platform import objects
 from berylweir.soak import harmful_request
 from berylweir.soak import models
+from berylweir.soak import odd_entries
 from berylweir.soak import proxy
 from berylweir.standin.gateway_platform import http
 from berylweir.standin.gateway_platform import server as server_standin
@@ -262,6 +263,17 @@
         self._server_starts[number] += 1
         await self.register_server(number)
 
+    async def write_odd_entries(self, fault: models.WriteOddEntries) -> None:
+        """Writes entries of another writer, and removes them later."""
+        names = [f"{fault.name}-{n}" for n in range(len(fault.shapes))]
+        for name, shape in zip(names, fault.shapes, strict=True):
+            spec = odd_entries.build_spec(shape)
+            await self._store.put(fault.kind, name, spec)
+        await asyncio.sleep(fault.duration_s)
+        for name in names:
+            if self._store.get(fault.kind, name) is not None:
+                await self._store.remove(fault.kind, name)
+
     async def restore_store(self, age_s: float, away_s: float) -> None:
         """Has the store come back from the newest copy of an age or more.
 
--- a/berylweir/soak/fault_classes.py
+++ b/berylweir/soak/fault_classes.py
@@ -5,6 +5,7 @@
 from collections.abc import Sequence
 import random
 
+from berylweir.platform import objects
 from berylweir.soak import fault_schedule
 from berylweir.soak import models
 
@@ -30,6 +31,19 @@
 # Bounds of the time that it takes for a request meanwhile, in seconds.
 _MIN_COPYING_SERVICE_S = 0.1
 _MAX_COPYING_SERVICE_S = 0.8
+# Bounds of the time for which odd entries exist, in seconds.
+_MIN_ODD_S = 6.0
+_MAX_ODD_S = 12.0
+# Kinds of these entries, with prefixes of names that sort before and after the
+# others.
+_ODD_KINDS = (
+    objects.SERVERS_KIND,
+    objects.SERVERS_KIND,
+    objects.CONFIGURATION_KIND,
+    objects.GATEWAY_KIND,
+    objects.KEY_TABLES_KIND,
+)
+_ODD_NAMES = ("a-odd", "z-odd")
 # Shares of the usual faults that remain beside those of classes. A fault of a
 # class takes several steps, and most other faults break its course.
 _USUAL_SHARES = (0.1, 0.4, 1.0)
@@ -38,6 +52,7 @@
 def generate(
     seed: int,
     seconds: float,
+    vms: int,
     servers: int,
     classes: Collection[models.FaultClass],
 ) -> list[models.ScheduledFault]:
@@ -49,6 +64,7 @@
     Args:
         seed: Seed of the soak; equal seeds give equal faults.
         seconds: Length of the soak, in seconds.
+        vms: Number of gateways.
         servers: Number of backend servers with faults.
         classes: The classes.
     """
@@ -61,7 +77,7 @@
         start_s = fault_schedule.FAULT_FREE_MARGIN_S
         while start_s < seconds - fault_schedule.FAULT_FREE_MARGIN_S:
             scheduled_faults.append(
-                models.ScheduledFault(start_s, choose(rng, servers))
+                models.ScheduledFault(start_s, choose(rng, vms, servers))
             )
             start_s += rng.uniform(max_pause_s / 2.0, max_pause_s)
     return scheduled_faults
@@ -82,7 +98,7 @@
 
 
 def _restore_under_frozen_holder(
-    rng: random.Random, servers: int
+    rng: random.Random, vms: int, servers: int
 ) -> models.Fault:
     freeze_s = rng.uniform(_MIN_HOLDER_FREEZE_S, _MAX_HOLDER_FREEZE_S)
     thaw_delay_s = rng.uniform(0.0, _MAX_THAW_DELAY_S)
@@ -100,7 +116,7 @@
     )
 
 
-def _copy_answers(rng: random.Random, servers: int) -> models.Fault:
+def _copy_answers(rng: random.Random, vms: int, servers: int) -> models.Fault:
     return models.CopyAnswers(
         rng.randrange(servers),
         rng.choice(_COPY_SHARES),
@@ -109,12 +125,26 @@
     )
 
 
+def _write_odd_entries(
+    rng: random.Random, vms: int, servers: int
+) -> models.Fault:
+    shapes = list(models.OddShape)
+    return models.WriteOddEntries(
+        rng.randrange(vms),
+        rng.choice(_ODD_KINDS),
+        rng.choice(_ODD_NAMES),
+        tuple(rng.sample(shapes, rng.randint(1, len(shapes)))),
+        rng.uniform(_MIN_ODD_S, _MAX_ODD_S),
+    )
+
+
 # How the faults of each class are chosen, and the longest time between the
 # starts of two, in seconds.
 _PLANS: dict[
     models.FaultClass,
-    tuple[Callable[[random.Random, int], models.Fault], float],
+    tuple[Callable[[random.Random, int, int], models.Fault], float],
 ] = {
     models.FaultClass.FROZEN_HOLDER: (_restore_under_frozen_holder, 12.0),
     models.FaultClass.LATE_COPIES: (_copy_answers, 2.0),
+    models.FaultClass.ODD_ENTRIES: (_write_odd_entries, 6.0),
 }
--- a/berylweir/soak/models.py
+++ b/berylweir/soak/models.py
@@ -259,6 +259,39 @@
     duration_s: float
 
 
+class OddShape(enum.Enum):
+    """What is odd about an entry of another writer."""
+
+    MISSING_FIELDS = "missing_fields"
+    WRONG_TYPES = "wrong_types"
+    UNKNOWN_STATE = "unknown_state"
+    NO_OBJECT = "no_object"
+    HALF_SURROGATE = "half_surrogate"
+    DEEP = "deep"
+    HUGE_NUMBER = "huge_number"
+    DUPLICATE_MEMBERS = "duplicate_members"
+    TRUNCATED_UTF8 = "truncated_utf8"
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class WriteOddEntries:
+    """Writes entries of another writer, and starts a gateway again.
+
+    Attributes:
+        vm: Number of the gateway's VM, which is killed.
+        kind: Kind of the entries.
+        name: Prefix of their names.
+        shapes: What is odd about each of them.
+        duration_s: How long they exist, in seconds.
+    """
+
+    vm: int
+    kind: str
+    name: str
+    shapes: tuple[OddShape, ...]
+    duration_s: float
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Isolate:
     """Injects a fault between gateways and all backend servers.
@@ -295,6 +328,7 @@
     | RestoreStore
     | RestoreUnderFrozenHolder
     | CopyAnswers
+    | WriteOddEntries
     | Isolate
 )
 
@@ -304,6 +338,7 @@
 
     FROZEN_HOLDER = "frozen_holder"  # Restorations under a frozen holder.
     LATE_COPIES = "late_copies"  # Answers of servers that arrive again.
+    ODD_ENTRIES = "odd_entries"  # Entries of other writers in the store.
     UNEVEN_LOAD = "uneven_load"  # Busy keys, once all faults have ended.
 
 
--- a/berylweir/soak/runner.py
+++ b/berylweir/soak/runner.py
@@ -21,6 +21,7 @@
 from berylweir.soak import isolation_checks
 from berylweir.soak import live_checks
 from berylweir.soak import models
+from berylweir.soak import odd_entries
 from berylweir.soak import origins
 from berylweir.soak import pipelining_callers
 from berylweir.soak import pipelining_checks
@@ -210,6 +211,10 @@
             )
         if not answered_count:
             self._violations.append("no request was answered")
+        if models.FaultClass.ODD_ENTRIES in self._classes:
+            self._violations += odd_entries.find_violations(
+                exchanges, self._disruptions, self._started_s
+            )
         pipelined = [e.exchange for c in pipelining for e in c.exchanges]
         self._pipelining_result = self._check_pipelining(pipelining)
         return (
@@ -330,6 +335,7 @@
         schedule += fault_classes.generate(
             self._seed,
             self._seconds,
+            self._vms,
             deployments.FAULTY_SERVERS,
             self._classes,
         )
@@ -426,6 +432,10 @@
                 await self._deployment.restore_store(age_s, away_s)
             case models.CopyAnswers():
                 await self._deployment.copy_answers(fault)
+            case models.WriteOddEntries(vm):
+                async with asyncio.TaskGroup() as group:
+                    group.create_task(self._deployment.write_odd_entries(fault))
+                    await self._apply_fault(models.Kill(vm, 0.0))
             case models.RestoreUnderFrozenHolder():
                 await self._restore_under_frozen_holder(fault)
             case _:
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -115,6 +115,8 @@
             (models.FaultClass.FROZEN_HOLDER, 3),
             # Build 493d379 grants keys that are in use.
             (models.FaultClass.LATE_COPIES, 2),
+            # Build 999776f serves nothing after a start beside odd entries.
+            (models.FaultClass.ODD_ENTRIES, 1),
         ],
     )
     async def test_classes_break_no_guarantee(
@@ -236,10 +238,12 @@
     def test_classes_do_not_change_each_other(self):
         """Guards against regression seeds that no longer test the same."""
         alone = [
-            fault_classes.generate(5, 60.0, 8, [fault_class])
+            fault_classes.generate(5, 60.0, 3, 8, [fault_class])
             for fault_class in models.FaultClass
         ]
-        together = fault_classes.generate(5, 60.0, 8, list(models.FaultClass))
+        together = fault_classes.generate(
+            5, 60.0, 3, 8, list(models.FaultClass)
+        )
         without_faults = {models.FaultClass.UNEVEN_LOAD}
         assert {
             fault_class
@@ -268,7 +272,9 @@
                 *fault_schedule.generate(seed, 60.0, 3, 8, has_isolations=True),
                 *rollouts.generate(seed, 60.0, 3),
                 *planned_series.generate(seed, 60.0, 3),
-                *fault_classes.generate(seed, 60.0, 8, list(models.FaultClass)),
+                *fault_classes.generate(
+                    seed, 60.0, 3, 8, list(models.FaultClass)
+                ),
             )
         }
         assert kinds == set(models.Fault.__args__)
