--- a/berylweir/soak/runner.py
+++ b/berylweir/soak/runner.py
@@ -21,6 +21,7 @@
 from berylweir.soak import isolation_checks
 from berylweir.soak import live_checks
 from berylweir.soak import models
+from berylweir.soak import odd_entries
 from berylweir.soak import origins
 from berylweir.soak import pipelining_callers
 from berylweir.soak import pipelining_checks
@@ -30,6 +31,7 @@
 from berylweir.soak import rollouts
 from berylweir.soak import stalls
 from berylweir.soak import statement_checks
+from berylweir.soak import uneven_load
 from berylweir.standin.gateway_platform import store as store_standin
 
 _LOGGER = logging.getLogger(__name__)
@@ -114,6 +116,12 @@
         self._store_faults: list[models.Disruption] = []
         self._violations: list[str] = []
         self._started_s = time.monotonic()
+        self._uneven_load = uneven_load.UnevenLoad((), (), 0.0, "")
+
+    @property
+    def moved_after_s(self) -> float | None:
+        """Time until a busy key was moved, after `run`, in seconds."""
+        return self._uneven_load.moved_after_s
 
     @property
     def isolated_counts(self) -> isolation_checks.ServedCounts:
@@ -135,6 +143,12 @@
         async with contextlib.AsyncExitStack() as stack:
             await self._start_deployment(stack)
             self._started_s = time.monotonic()
+            self._uneven_load = uneven_load.UnevenLoad(
+                self._gateways,
+                self._deployment.servers,
+                self._started_s,
+                f"{self._seed}/uneven-load",
+            )
             request_callers = [
                 callers.Caller(
                     f"c{gateway.vm}-{number}",
@@ -163,7 +177,7 @@
                 )
                 if self._has_harmful_request:
                     check_tasks.append(group.create_task(harmful_caller.run()))
-                fault_task = group.create_task(self._inject_faults())
+                fault_task = group.create_task(self._disturb())
                 await asyncio.gather(
                     *(c.run(self._seconds) for c in request_callers),
                     *(c.run(self._seconds) for c in pipelining),
@@ -173,7 +187,10 @@
                     check_task.cancel()
             exchanges = [
                 e
-                for request_caller in request_callers
+                for request_caller in (
+                    *request_callers,
+                    *self._uneven_load.callers,
+                )
                 for e in request_caller.exchanges
             ]
         answered_count = sum(e.status == 200 for e in exchanges)
@@ -194,10 +211,15 @@
             )
         if not answered_count:
             self._violations.append("no request was answered")
+        if models.FaultClass.ODD_ENTRIES in self._classes:
+            self._violations += odd_entries.find_violations(
+                exchanges, self._disruptions, self._started_s
+            )
         pipelined = [e.exchange for c in pipelining for e in c.exchanges]
         self._pipelining_result = self._check_pipelining(pipelining)
         return (
             self._violations
+            + self._uneven_load.violations
             + self._pipelining_result.violations
             + self._live_checks.violations
             + checks.find_violations(
@@ -291,6 +313,12 @@
         process_id = origins.find_process(local_port, remote_port, vms)
         return vms[process_id] if process_id is not None else None
 
+    async def _disturb(self) -> None:
+        """Injects the faults, and what is to be checked after the last one."""
+        await self._inject_faults()
+        if models.FaultClass.UNEVEN_LOAD in self._classes:
+            await self._uneven_load.run(self._seconds)
+
     # Faults
 
     async def _inject_faults(self) -> None:
@@ -312,10 +340,14 @@
         schedule += fault_classes.generate(
             self._seed,
             self._seconds,
+            self._vms,
             deployments.FAULTY_SERVERS,
             self._classes,
         )
         schedule.sort(key=lambda scheduled: scheduled.start_s)
+        if models.FaultClass.UNEVEN_LOAD in self._classes:
+            last_s = self._seconds - uneven_load.QUIET_S
+            schedule = [s for s in schedule if s.start_s < last_s]
         async with asyncio.TaskGroup() as group:
             for scheduled_fault in schedule:
                 pause_s = (
@@ -405,6 +437,10 @@
                 await self._deployment.restore_store(age_s, away_s)
             case models.CopyAnswers():
                 await self._deployment.copy_answers(fault)
+            case models.WriteOddEntries(vm):
+                async with asyncio.TaskGroup() as group:
+                    group.create_task(self._deployment.write_odd_entries(fault))
+                    await self._apply_fault(models.Kill(vm, 0.0))
             case models.RestoreUnderFrozenHolder():
                 await self._restore_under_frozen_holder(fault)
             case _:
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -23,6 +23,8 @@
 _PIPELINING_SECONDS = 10.5
 # Length of the soaks with a further class of faults, in seconds.
 _CLASS_SECONDS = 25.0
+# The same with a time without faults at the end.
+_UNEVEN_SECONDS = 45.0
 # Seeds that failed once, each with the cause of its failure.
 _REGRESSIONS = (
     2,  # SIGHUP ended a gateway that had just started.
@@ -93,6 +95,8 @@
             (models.FaultClass.FROZEN_HOLDER, 3),
             # Build 493d379 grants keys that are in use.
             (models.FaultClass.LATE_COPIES, 2),
+            # Build 999776f serves nothing after a start beside odd entries.
+            (models.FaultClass.ODD_ENTRIES, 1),
         ],
     )
     async def test_classes_break_no_guarantee(
@@ -107,6 +111,17 @@
         )
         assert await soak.run() == []
 
+    async def test_keys_move_after_disruptions(self, tmp_path: pathlib.Path):
+        """Guards against a holder that plans no moves any more."""
+        soak = runner.Soak(
+            1,
+            _UNEVEN_SECONDS,
+            tmp_path,
+            classes=[models.FaultClass.UNEVEN_LOAD],
+        )
+        assert await soak.run() == []
+        assert soak.moved_after_s is not None
+
 
 class TestRollouts:
     """Changes of the build amid the other faults."""
@@ -200,11 +215,20 @@
     def test_classes_do_not_change_each_other(self):
         """Guards against regression seeds that no longer test the same."""
         alone = [
-            fault_classes.generate(5, 60.0, 8, [fault_class])
+            fault_classes.generate(5, 60.0, 3, 8, [fault_class])
             for fault_class in models.FaultClass
         ]
-        together = fault_classes.generate(5, 60.0, 8, list(models.FaultClass))
-        assert all(alone)
+        together = fault_classes.generate(
+            5, 60.0, 3, 8, list(models.FaultClass)
+        )
+        without_faults = {models.FaultClass.UNEVEN_LOAD}
+        assert {
+            fault_class
+            for fault_class, faults in zip(
+                models.FaultClass, alone, strict=True
+            )
+            if not faults
+        } == without_faults
         assert together == [fault for faults in alone for fault in faults]
 
     def test_usual_faults_remain_beside_classes(self):
@@ -225,7 +249,9 @@
                 *fault_schedule.generate(seed, 60.0, 3, 8, has_isolations=True),
                 *rollouts.generate(seed, 60.0, 3),
                 *planned_series.generate(seed, 60.0, 3),
-                *fault_classes.generate(seed, 60.0, 8, list(models.FaultClass)),
+                *fault_classes.generate(
+                    seed, 60.0, 3, 8, list(models.FaultClass)
+                ),
             )
         }
         assert kinds == set(models.Fault.__args__)
