Break off answers without a reset of the connection

Callers saw: a caller that reads slowly loses whole answers, which were written before, when the answer behind them breaks off or its request fails with an unhandled error.

Cause: the gateway aborted the connection within the broken answer. An abort drops what the transport buffers, and requests that are unread or arrive later make the kernel reset the connection, and drop what it hasn't sent.

Change: the requests without an answer are dropped and recorded, and the connection ends like behind a last answer: its end follows the data, and what arrives is read and dropped. The broken answer still can't look complete, as it lacks bytes or its last chunk.

Test: TestBrokenAnswers (tests/gateway/ingress/test_closing.py), 3 of 3 failed before: the first answer was cut off. Passing now, with tests/gateway/ingress, test_path.py and test_long_bodies.py of tests/gateway.

--- a/berylweir/gateway/ingress/protocol.py
+++ b/berylweir/gateway/ingress/protocol.py
@@ -97,7 +97,6 @@
         self._idle_since_s = self._loop.time()
         self._closed: ingress.Closed | None = None
         self._is_closing = False
-        self._is_aborted = False
         self._requested_close: ingress.CloseReason | None = None
         self._is_parsable = True
         # Bytes that wait until the queue has room.
@@ -166,7 +165,7 @@
         if self._task is not None:
             self._task.cancel()
         # A caller may leave while its last requests are still handled.
-        self._drop_requests(self._closed if self._is_aborted else None)
+        self._drop_requests(None)
 
     def pause_writing(self) -> None:
         """Stops writing while the caller reads more slowly than we write."""
@@ -368,15 +367,6 @@
             self._requested_close = reason
             self._wake.set()
 
-    def abort(self) -> None:
-        """Closes the connection at once; buffered data is lost."""
-        self._is_aborted = True
-        self._closed = ingress.Closed(
-            ingress.CloseReason.BROKEN, self._loop.time()
-        )
-        if self._transport is not None:
-            self._transport.abort()
-
     # The task of the connection
 
     async def _answer_requests(self) -> None:
@@ -388,11 +378,11 @@
             await self._close_idle()
         except exceptions.ResponseTruncatedError:
             self._metrics.count("gateway.response.cut")
-            self.abort()
+            await self._break_off()
         except Exception:
             self._metrics.count("gateway.request.crashed")
             _LOGGER.exception("unhandled error in a request")
-            self.abort()
+            await self._break_off()
 
     async def _wait_for_request(self) -> bool:
         """Returns whether there is one; if not, the connection is closed."""
@@ -494,6 +484,17 @@
             self._resume_reading()
         await lingering.close(self._transport)
 
+    async def _break_off(self) -> None:
+        """Ends the connection within an answer, behind the earlier answers.
+
+        A reset would lose what the caller hasn't received of those.
+        """
+        self._closed = ingress.Closed(
+            ingress.CloseReason.BROKEN, self._loop.time()
+        )
+        self._drop_requests(self._closed)
+        await self._linger()
+
     def _resume_reading(self) -> None:
         """Continues to read once the queue has room."""
         self._is_reading_paused = False
--- a/tests/gateway/ingress/test_closing.py
+++ b/tests/gateway/ingress/test_closing.py
@@ -8,6 +8,7 @@
 
 from berylweir.gateway import models
 from berylweir.gateway.body_memory import budget
+from berylweir.gateway.exchange import exceptions
 from berylweir.gateway.exchange import models as exchange
 from berylweir.gateway.ingress import models as ingress
 from berylweir.gateway.ingress import protocol
@@ -24,6 +25,16 @@
 _RECEIVE_BUFFER_BYTES = 16_384
 
 
+def create_slow_socket() -> socket.socket:
+    """Returns a socket, to be connected, that receives little ahead."""
+    connection = socket.socket()
+    connection.setsockopt(
+        socket.SOL_SOCKET, socket.SO_RCVBUF, _RECEIVE_BUFFER_BYTES
+    )
+    connection.setblocking(False)
+    return connection
+
+
 @contextlib.asynccontextmanager
 async def start_download(**options):
     """Starts a gateway, and a caller that has sent a request for `_BODY`.
@@ -38,11 +49,7 @@
             http.Response(200, {"Response-Seal": "x"}, _BODY)
         )
         gateway = await deployment.add_gateway()
-        connection = socket.socket()
-        connection.setsockopt(
-            socket.SOL_SOCKET, socket.SO_RCVBUF, _RECEIVE_BUFFER_BYTES
-        )
-        connection.setblocking(False)
+        connection = create_slow_socket()
         await asyncio.get_running_loop().sock_connect(
             connection, gateway.environment.caller_address
         )
@@ -101,17 +108,70 @@
             assert (await caller.read()).status == 400
 
 
+class BrokenAnswers:
+    """Answers with `_BODY` first; the next answer breaks off at the gate."""
+
+    def __init__(self, failure: Exception, *, is_begun: bool) -> None:
+        self.gate = asyncio.Event()
+        self._failure = failure
+        self._is_begun = is_begun
+
+    async def handle(self, request: exchange.CallerRequest) -> exchange.Answer:
+        """Returns the answer to a request."""
+        if request.head.path == "/r/1":
+            return exchange.Answer(200, (), _BODY, None, len(_BODY))
+        if self._is_begun:
+            return exchange.Answer(200, (), b"", self._stream(), len(_BODY))
+        await self.gate.wait()
+        raise self._failure
+
+    async def _stream(self):
+        yield b"x"
+        await self.gate.wait()
+        raise self._failure
+
+
+class TestBrokenAnswers:
+    """Connections that end because an answer breaks off."""
+
+    @pytest.mark.parametrize(
+        ("failure", "is_begun"),
+        [
+            (exceptions.ResponseTruncatedError(), True),
+            (ValueError("no such case"), True),
+            (ValueError("no such case"), False),
+        ],
+    )
+    async def test_earlier_answer_is_not_cut_off(self, failure, is_begun):
+        """Guards against a reset that loses what a slow caller has due."""
+        answers = BrokenAnswers(failure, is_begun=is_begun)
+        async with listen(answers.handle) as (address, _):
+            connection = create_slow_socket()
+            await asyncio.get_running_loop().sock_connect(connection, address)
+            caller = rig.Caller(
+                *await asyncio.open_connection(sock=connection, limit=1024)
+            )
+            with contextlib.closing(caller.writer):
+                caller.send("/r/1", "a1")
+                caller.send("/r/2", "a2")
+                await asyncio.sleep(0.3)
+                answers.gate.set()
+                await asyncio.sleep(0.3)
+                caller.send("/r/3", "a3")
+                await asyncio.sleep(0.3)
+                await assert_received(caller)
+                reply = await caller.read()
+                assert not is_begun or not reply.is_whole
+                assert await caller.reader.read() == b""
+
+
 @contextlib.asynccontextmanager
-async def open_connection():
-    """Opens a connection that was used once.
+async def listen(handle: protocol.HandleRequest):
+    """Accepts connections of callers.
 
     Yields:
-        The gateway's end and the caller.
+        The address and the gateway's ends of the connections.
     """
-
-    async def handle(_: exchange.CallerRequest) -> exchange.Answer:
-        return exchange.Answer(200, (), b"")
-
     metrics = counters.Counters()
     connections: set[protocol.CallerConnection] = set()
     server = await asyncio.get_running_loop().create_server(
@@ -127,9 +187,22 @@
         0,
     )
     async with server:
-        caller = rig.Caller(
-            *await asyncio.open_connection(*server.sockets[0].getsockname())
-        )
+        yield server.sockets[0].getsockname(), connections
+
+
+@contextlib.asynccontextmanager
+async def open_connection():
+    """Opens a connection that was used once.
+
+    Yields:
+        The gateway's end and the caller.
+    """
+
+    async def handle(_: exchange.CallerRequest) -> exchange.Answer:
+        return exchange.Answer(200, (), b"")
+
+    async with listen(handle) as (address, connections):
+        caller = rig.Caller(*await asyncio.open_connection(*address))
         with contextlib.closing(caller.writer):
             caller.send("/r/1", "a1")
             assert (await caller.read()).status == 200
