Bound the waits of requests for replies of other tasks

What callers saw: a request on whose message the dispatcher crashed got no answer within 8 s on a route of 2 s (a trial); by reading, it waited until its caller left or the gateway stopped, and with a permit it kept a slot of its server.

Cause: the waits for a server and for a permit end only with a reply, and a task that crashes on a message never replies to it.

Change: both waits end 0.1 s after the deadline of the request, which is then refused as any request that ran out of time; a permit's placement is given back.

Measured: pytest tests/gateway/test_stop.py -k LostReplies: 2 failed before (no end within 5 s), 2 pass.

--- a/berylweir/gateway/exchange/handler.py
+++ b/berylweir/gateway/exchange/handler.py
@@ -30,6 +30,11 @@
 _MIN_OWNER_WAIT_S = 0.8
 # Attempts without a usable connection after which a request is refused.
 _MAX_UNSENT_ATTEMPTS = 3
+# Time after the deadline of a request until which a reply of another task is
+# awaited, in seconds. Those tasks refuse requests at the deadline themselves.
+_REPLY_MARGIN_S = 0.1
+
+_Reply = typing.TypeVar("_Reply")
 
 
 class RequestHandler:
@@ -390,17 +395,19 @@
 
         Returns:
             The placement, another gateway or why there is neither; None if the
-            permit was denied.
+            permit was denied, or if there was no reply by the deadline.
         """
         reply: asyncio.Future[messages.PlacementReply] = (
             asyncio.get_running_loop().create_future()
         )
         self._inbox.post(messages.PlaceRequest(requirements, reply))
         try:
-            placement = await reply
+            placement = await _wait_for_reply(reply, requirements)
         finally:
             self._release_abandoned(reply, requirements)
         match placement:
+            case None:
+                return None
             case messages.NotPlaced() | messages.Forward():
                 return placement
             case messages.Placement():
@@ -437,7 +444,9 @@
                     reply,
                 )
             )
-            match await reply:
+            match await _wait_for_reply(reply, requirements):
+                case None:
+                    pass
                 case messages.PermitGranted(start_s):
                     await asyncio.sleep(max(0.0, start_s - loop.time()))
                     is_permitted = True
@@ -492,6 +501,25 @@
                 typing.assert_never(placement)
 
 
+async def _wait_for_reply(
+    reply: "asyncio.Future[_Reply]",
+    requirements: messages.ServerRequirements,
+) -> _Reply | None:
+    """Returns the reply of another task; None if there is none in time.
+
+    A task that crashes on a message never replies to it.
+    """
+    try:
+        async with asyncio.timeout_at(
+            requirements.deadline_s + _REPLY_MARGIN_S
+        ):
+            return await reply
+    except TimeoutError:
+        # A reply that came at that moment may have to be given back.
+        has_reply = reply.done() and not reply.cancelled()
+        return reply.result() if has_reply else None
+
+
 def _now_s() -> float:
     return asyncio.get_running_loop().time()
 
--- a/tests/gateway/test_stop.py
+++ b/tests/gateway/test_stop.py
@@ -581,3 +581,32 @@
             await rig.until(lambda: bool(server.executions))
             harness.begin_stop(accepts_s=0.1, ends_s=1.0)
             assert [(await t).status for t in tasks] == [502, 503]
+
+
+class TestLostReplies:
+    """Tasks that crash on the message of a request, and don't reply to it."""
+
+    async def test_request_without_a_server_is_refused(self):
+        """Guards against requests that wait until their callers leave."""
+        harness = HandlerHarness(kind="unsafe", timeout_ms=200.0)
+        answer_task = harness.handle(200.0)
+        await harness.inbox.get()
+        answer = await asyncio.wait_for(answer_task, 5.0)
+        assert answer.status == 503
+
+    async def test_request_without_a_permit_is_refused(self):
+        """Guards against a server whose slot such a request keeps."""
+        harness = HandlerHarness(kind="unsafe", timeout_ms=200.0)
+        answer_task = harness.handle(200.0)
+        place_request = await harness.inbox.get()
+        server = models.BackendServer(
+            "s0", 1, "books", "127.0.0.1", 1, "a", 3, False, 0.0, 1
+        )
+        now_s = asyncio.get_running_loop().time()
+        place_request.reply.set_result(
+            messages.Placement(server, None, now_s, 0.0, limit=1.0)
+        )
+        await harness.permits_inbox.get()
+        returned = await asyncio.wait_for(harness.inbox.get(), 5.0)
+        assert isinstance(returned, messages.PlacementReturned)
+        assert (await answer_task).status == 503
