Count an interrupt once if another signal arrives with it

A SIGTERM and one SIGINT that arrived together ended a gateway at once, like two presses of Ctrl-C.

uvloop passes on signals from its wakeup socket and from a set that its signal handler fills. If that handler runs for a signal whose byte hasn't been read from the socket yet, uvloop calls the callback of the signal twice.

The signals now have handlers of their own, which pass each one to the event loop. They are replaced directly at the end, without the moment in which the default of the system was in force.

The test of a second interrupt now uses a program that drains until it is cancelled; the programs that it used may end before the second interrupt arrives, as they did in 2 runs.

--- a/berylweir/process.py
+++ b/berylweir/process.py
@@ -4,6 +4,7 @@
 from collections.abc import Callable
 import logging
 import signal
+import types
 
 import uvloop
 
@@ -66,9 +67,6 @@
         has_interrupt = True
         on_terminate()
 
-    loop.add_signal_handler(signal.SIGTERM, on_terminate)
-    loop.add_signal_handler(signal.SIGINT, on_interrupt)
-
     def on_hangup() -> None:
         if on_reload is None:
             on_terminate()
@@ -76,7 +74,15 @@
         _LOGGER.info("reloading")
         on_reload()
 
-    loop.add_signal_handler(signal.SIGHUP, on_hangup)
+    # uvloop's own signal handlers can be called twice for one signal if another
+    # one arrives with it.
+    handlers = {
+        signal.SIGTERM: on_terminate,
+        signal.SIGINT: on_interrupt,
+        signal.SIGHUP: on_hangup,
+    }
+    for number, handler in handlers.items():
+        signal.signal(number, _forward_to(loop, handler))
     _LOGGER.info("started", extra={"build": build_id.build_id()})
     try:
         await supervisor.run_root(root, stop_event)
@@ -86,10 +92,20 @@
         _LOGGER.warning("stopped without waiting for the shutdown")
         return False
     finally:
-        # The handlers end with the event loop, and a signal would then end the
+        # The event loop ends now, and the default of a signal would end the
         # process with a status that supervisors take for a crash.
-        for number in (signal.SIGTERM, signal.SIGINT, signal.SIGHUP):
-            loop.remove_signal_handler(number)
+        for number in handlers:
             signal.signal(number, signal.SIG_IGN)
         _LOGGER.info("stopped")
     return True
+
+
+def _forward_to(
+    loop: asyncio.AbstractEventLoop, handler: Callable[[], None]
+) -> Callable[[int, types.FrameType | None], None]:
+    """Returns a signal handler that calls `handler` in the event loop."""
+
+    def forward(_number: int, _frame: types.FrameType | None) -> None:
+        loop.call_soon_threadsafe(handler)
+
+    return forward
--- a/tests/gateway/test_program.py
+++ b/tests/gateway/test_program.py
@@ -33,28 +33,13 @@
 
 
 class TestProgram:
-    """Signals during the start of the program."""
+    """Signals to the program while it starts."""
 
     async def test_a_reload_signal_does_not_end_the_start(self, tmp_path):
         """Guards against SIGHUP ending the process before it is handled."""
-        front, ready, peer, store, metrics = (rig.free_port() for _ in range(5))
-        settings_file = tmp_path / "settings.toml"
-        settings_file.write_text(
-            'node = "vm-1"\nip = "127.0.0.1"\nzone = "a"\n'
-            f"portRange = [{peer}, {peer}]\n"
-            f'listen = {{ front = "127.0.0.1:{front}", '
-            f'ready = "127.0.0.1:{ready}" }}\n'
-            f'infra = {{ addr = "127.0.0.1:{store}" }}\n'
-        )
+        command, environment = build_command(tmp_path)
         process = await asyncio.create_subprocess_exec(
-            sys.executable,
-            "-m",
-            "berylweir.gateway.program",
-            "--metrics-port",
-            str(metrics),
-            stdout=asyncio.subprocess.PIPE,
-            env=os.environ
-            | {settings.SETTINGS_PATH_VARIABLE: str(settings_file)},
+            *command, stdout=asyncio.subprocess.PIPE, env=environment
         )
         assert process.stdout is not None
         try:
@@ -73,6 +58,53 @@
                 process.kill()
             await process.wait()
 
+    def test_interrupt_is_counted_once(self, tmp_path):
+        """Guards against a planned stop that is cut off by one interrupt.
+
+        The signals arrive together, while the event loop is busy.
+        """
+        for _ in range(16):
+            command, environment = build_command(tmp_path)
+            process = subprocess.Popen(
+                command, stdout=subprocess.PIPE, env=environment
+            )
+            assert process.stdout is not None
+            try:
+                while b'"started"' not in (line := process.stdout.readline()):
+                    assert line, "the program ended"
+                process.send_signal(signal.SIGTERM)
+                process.send_signal(signal.SIGINT)
+                process.communicate(timeout=20.0)
+            finally:
+                process.kill()
+                process.wait()
+            assert process.returncode == 0
+
+
+def build_command(
+    directory: pathlib.Path,
+) -> tuple[list[str], dict[str, str]]:
+    """Returns command and environment of a gateway that reaches no store."""
+    front, ready, peer, store, metrics = (rig.free_port() for _ in range(5))
+    settings_file = directory / "settings.toml"
+    settings_file.write_text(
+        'node = "vm-1"\nip = "127.0.0.1"\nzone = "a"\n'
+        f"portRange = [{peer}, {peer}]\n"
+        f'listen = {{ front = "127.0.0.1:{front}", '
+        f'ready = "127.0.0.1:{ready}" }}\n'
+        f'infra = {{ addr = "127.0.0.1:{store}" }}\n'
+    )
+    return (
+        [
+            sys.executable,
+            "-m",
+            "berylweir.gateway.program",
+            "--metrics-port",
+            str(metrics),
+        ],
+        os.environ | {settings.SETTINGS_PATH_VARIABLE: str(settings_file)},
+    )
+
 
 def is_importing(pid: int) -> bool:
     """Returns whether a process has begun to import the program."""
--- a/tests/test_programs.py
+++ b/tests/test_programs.py
@@ -18,6 +18,25 @@
 _HOST = "127.0.0.1"
 _READY_TIMEOUT_S = 20.0
 _STOP_TIMEOUT_S = 20.0
+_DRAINING_PROGRAM = """
+import asyncio
+import logging
+
+from berylweir import process
+from berylweir.supervision import models
+from berylweir.supervision import supervisor
+
+
+async def drain(context):
+    context.report_ready()
+    logging.getLogger().info("draining")
+    await context.stop_event.wait()
+    await asyncio.sleep(3600.0)
+
+
+child = models.ChildSpec("child", drain, stop_timeout_s=3600.0)
+process.run_tree(supervisor.Supervisor("root", (child,)), "INFO")
+"""
 
 
 class ProcessManager:
@@ -157,11 +176,26 @@
         assert status == 0
         assert b"Traceback" not in log
 
-    def test_second_interrupt_has_a_status_of_its_own(self, program, tmp_path):
-        """Guards against a traceback for the user who presses Ctrl-C twice."""
-        process = self._start(program, tmp_path)
-        status, log = self._stop(process, signal.SIGINT, signal.SIGINT)
-        assert status == 130
+
+class TestSecondInterrupt:
+    """Ctrl-C pressed twice, while the program drains."""
+
+    def test_has_a_status_of_its_own(self):
+        """Guards against a traceback for the user, and a wait for the drain."""
+        process = subprocess.Popen(
+            [sys.executable, "-c", _DRAINING_PROGRAM], stderr=subprocess.PIPE
+        )
+        assert process.stderr is not None
+        try:
+            for expected in (b"draining", b'"stopping"'):
+                while expected not in (line := process.stderr.readline()):
+                    assert line, "the program ended"
+                process.send_signal(signal.SIGINT)
+            _, log = process.communicate(timeout=_STOP_TIMEOUT_S)
+        finally:
+            process.kill()
+            process.wait()
+        assert process.returncode == 130
         assert b"Traceback" not in log
 
 
