Keep the logs of a soak that reports violations

The logs of the soaks with seeds 9645 and 9701, in which no request was answered, were removed with their temporary directory, so the cause isn't known.

--- a/berylweir/soak/program.py
+++ b/berylweir/soak/program.py
@@ -3,6 +3,7 @@
 import asyncio
 import logging
 import pathlib
+import shutil
 import signal
 import sys
 import tempfile
@@ -32,7 +33,8 @@
     Args:
         seed: Seed of the faults and requests; equal seeds give equal ones.
         seconds: Length of the soak, in seconds.
-        logs: Directory for settings and logs; a temporary one if empty.
+        logs: Directory for settings and logs. If empty, a temporary one is
+            used, which is kept unless the soak ends without violations.
         vms: Number of gateways, each a process of its own.
         isolation: Also cut gateways off from all servers, while callers, the
             store and the other gateways reach them.
@@ -50,22 +52,22 @@
             one start to the next; by default that of this program.
     """
     logging.basicConfig(level=logging.INFO, format="%(message)s")
-    with tempfile.TemporaryDirectory() as temporary:
-        directory = pathlib.Path(logs or temporary)
-        directory.mkdir(parents=True, exist_ok=True)
-        soak_run = runner.Soak(
-            seed,
-            seconds,
-            directory,
-            vms,
-            has_isolations=isolation,
-            checks_isolated=check_isolated,
-            has_harmful_request=harmful,
-            has_rollouts=rollouts,
-            has_pipelining=pipelining,
-            builds=[build.resolve() for build in builds or ()],
-        )
-        violations = asyncio.run(_run_soak(soak_run))
+    directory = pathlib.Path(logs or tempfile.mkdtemp(prefix="berylweir-soak-"))
+    directory.mkdir(parents=True, exist_ok=True)
+    logging.info("logs in %s", directory)
+    soak_run = runner.Soak(
+        seed,
+        seconds,
+        directory,
+        vms,
+        has_isolations=isolation,
+        checks_isolated=check_isolated,
+        has_harmful_request=harmful,
+        has_rollouts=rollouts,
+        has_pipelining=pipelining,
+        builds=[build.resolve() for build in builds or ()],
+    )
+    violations = asyncio.run(_run_soak(soak_run))
     for violation in violations:
         print(violation)
     if harmful:
@@ -77,6 +79,8 @@
     print(f"seed {seed}: {len(violations)} broken")
     if violations:
         sys.exit(1)
+    if not logs:
+        shutil.rmtree(directory)
 
 
 async def _run_soak(soak: runner.Soak) -> list[str]:
