Send long and endless bodies in the soak

The soak's bodies had some bytes, and nothing looked at the memory of gateways.

Change: the class LONG_BODIES sends 4 to 10 uploads without end or of 64 MiB, or reads 40 to 120 endless responses slowly. Gateways get a limit of 300 MiB, and one whose resident memory exceeds it is a violation.

--- a/berylweir/soak/deployment.py
+++ b/berylweir/soak/deployment.py
@@ -9,6 +9,7 @@
 
 from berylweir.platform import objects
 from berylweir.soak import harmful_request
+from berylweir.soak import long_bodies
 from berylweir.soak import models
 from berylweir.soak import odd_entries
 from berylweir.soak import proxy
@@ -27,6 +28,7 @@
 _SLOW_SLOTS = 32
 _SLOW_TIMEOUT_MS = 4000
 _IDLE_TIMEOUT_MS = 15_000
+_MAX_BODY_BYTES = 1_000_000
 # Time from the crash of a server until its entry lapses, and until it is back,
 # in seconds.
 _ENTRY_LAPSE_S = 1.0
@@ -40,7 +42,11 @@
     """Owns the store, the servers and the proxies in front of the servers."""
 
     def __init__(
-        self, find_vm: proxy.FindVm, *, has_slow_group: bool = False
+        self,
+        find_vm: proxy.FindVm,
+        *,
+        has_slow_group: bool = False,
+        has_long_bodies: bool = False,
     ) -> None:
         """Creates a deployment that has not started.
 
@@ -49,7 +55,10 @@
                 proxy.
             has_slow_group: Whether there are servers that take long for a
                 request, and a route to them.
+            has_long_bodies: Whether long request bodies are allowed, and
+                servers send endless responses to some requests.
         """
+        self._has_long_bodies = has_long_bodies
         self._find_vm = find_vm
         self._has_slow_group = has_slow_group
         # Limit and number of unused routes of the next configuration.
@@ -144,6 +153,8 @@
         server_proxy = proxy.FaultProxy(
             await http.listen(stack, server.handle), self._find_vm
         )
+        if self._has_long_bodies:
+            server.endless_paths = frozenset({long_bodies.ENDLESS_PATH})
         server.crashing_paths = frozenset({harmful_request.PATH})
         server.on_crash = functools.partial(self._on_crash, number)
         self._servers.append(server)
@@ -205,6 +216,11 @@
             routes,
             self._configuration_version,
             idle_timeout_ms=self._idle_timeout_ms,
+            max_body_bytes=(
+                long_bodies.MAX_BODY_BYTES
+                if self._has_long_bodies
+                else _MAX_BODY_BYTES
+            ),
         )
         await self._store.put("config", "main", new_configuration)
 
--- a/berylweir/soak/fault_classes.py
+++ b/berylweir/soak/fault_classes.py
@@ -44,6 +44,14 @@
     objects.KEY_TABLES_KIND,
 )
 _ODD_NAMES = ("a-odd", "z-odd")
+# Bounds of the time of long bodies, in seconds.
+_MIN_BODIES_S = 3.0
+_MAX_BODIES_S = 6.0
+# Bounds of the number of long bodies at the same time, in each direction.
+_BODY_COUNTS = {
+    models.BodyDirection.UPLOAD: (4, 10),
+    models.BodyDirection.DOWNLOAD: (40, 120),
+}
 # Shares of the usual faults that remain beside those of classes. A fault of a
 # class takes several steps, and most other faults break its course.
 _USUAL_SHARES = (0.1, 0.4, 1.0)
@@ -138,6 +146,18 @@
     )
 
 
+def _send_long_bodies(
+    rng: random.Random, vms: int, servers: int
+) -> models.Fault:
+    direction = rng.choice(list(models.BodyDirection))
+    return models.LongBodies(
+        rng.randrange(vms),
+        direction,
+        rng.randint(*_BODY_COUNTS[direction]),
+        rng.uniform(_MIN_BODIES_S, _MAX_BODIES_S),
+    )
+
+
 # How the faults of each class are chosen, and the longest time between the
 # starts of two, in seconds.
 _PLANS: dict[
@@ -147,4 +167,5 @@
     models.FaultClass.FROZEN_HOLDER: (_restore_under_frozen_holder, 12.0),
     models.FaultClass.LATE_COPIES: (_copy_answers, 2.0),
     models.FaultClass.ODD_ENTRIES: (_write_odd_entries, 6.0),
+    models.FaultClass.LONG_BODIES: (_send_long_bodies, 5.0),
 }
--- a/berylweir/soak/models.py
+++ b/berylweir/soak/models.py
@@ -292,6 +292,30 @@
     duration_s: float
 
 
+class BodyDirection(enum.Enum):
+    """Which bodies are long."""
+
+    UPLOAD = "upload"  # Those of requests.
+    DOWNLOAD = "download"  # Those of responses, which are read slowly.
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class LongBodies:
+    """Sends requests with long or endless bodies at the same time.
+
+    Attributes:
+        vm: Number of the gateway's VM.
+        direction: Which bodies are long.
+        count: Number of requests.
+        duration_s: Time after which their callers leave, in seconds.
+    """
+
+    vm: int
+    direction: BodyDirection
+    count: int
+    duration_s: float
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Isolate:
     """Injects a fault between gateways and all backend servers.
@@ -309,6 +333,9 @@
     duration_s: float
 
 
+ClassFault = (
+    RestoreUnderFrozenHolder | CopyAnswers | WriteOddEntries | LongBodies
+)
 Fault = (
     Kill
     | Stop
@@ -326,10 +353,8 @@
     | PauseServer
     | ReplaceServer
     | RestoreStore
-    | RestoreUnderFrozenHolder
-    | CopyAnswers
-    | WriteOddEntries
     | Isolate
+    | ClassFault
 )
 
 
@@ -339,6 +364,7 @@
     FROZEN_HOLDER = "frozen_holder"  # Restorations under a frozen holder.
     LATE_COPIES = "late_copies"  # Answers of servers that arrive again.
     ODD_ENTRIES = "odd_entries"  # Entries of other writers in the store.
+    LONG_BODIES = "long_bodies"  # Bodies without end, in both directions.
     UNEVEN_LOAD = "uneven_load"  # Busy keys, once all faults have ended.
 
 
--- a/berylweir/soak/runner.py
+++ b/berylweir/soak/runner.py
@@ -20,6 +20,7 @@
 from berylweir.soak import harmful_request
 from berylweir.soak import isolation_checks
 from berylweir.soak import live_checks
+from berylweir.soak import long_bodies
 from berylweir.soak import models
 from berylweir.soak import odd_entries
 from berylweir.soak import origins
@@ -89,6 +90,7 @@
         self._has_rollouts = has_rollouts
         self._has_pipelining = has_pipelining
         self._classes = classes
+        self._has_long_bodies = models.FaultClass.LONG_BODIES in classes
         self._pipelining_result: pipelining_checks.Result | None = None
         self._vms = vms
         self._has_harmful_request = has_harmful_request
@@ -100,12 +102,15 @@
         self._seconds = seconds
         self._directory = directory
         self._deployment = deployments.Deployment(
-            self._find_vm, has_slow_group=has_pipelining
+            self._find_vm,
+            has_slow_group=has_pipelining,
+            has_long_bodies=self._has_long_bodies,
         )
         self._stall_meter = stalls.StallMeter()
         self._live_checks = live_checks.LiveChecks(self._deployment)
         self._store_proxies: list[proxy.FaultProxy] = []
         self._gateways: list[gateways.Gateway] = []
+        self._memory_check = long_bodies.MemoryCheck(self._gateways)
         self._wait_meter = processor_waits.WaitMeter(self._gateways)
         self._planned_stops: list[models.PlannedStop] = []
         self._killed_instances: set[tuple[int, int]] = set()
@@ -175,6 +180,10 @@
                 harmful_caller = harmful_request.HarmfulCaller(
                     self._gateways, f"{self._seed}/harmful"
                 )
+                if self._has_long_bodies:
+                    check_tasks.append(
+                        group.create_task(self._memory_check.run())
+                    )
                 if self._has_harmful_request:
                     check_tasks.append(group.create_task(harmful_caller.run()))
                 fault_task = group.create_task(self._disturb())
@@ -220,6 +229,7 @@
         return (
             self._violations
             + self._uneven_load.violations
+            + self._memory_check.violations
             + self._pipelining_result.violations
             + self._live_checks.violations
             + checks.find_violations(
@@ -294,6 +304,7 @@
                 await store_proxy.listen(stack),
                 self._directory,
                 self._builds,
+                long_bodies.MEMORY_LIMIT_MB if self._has_long_bodies else None,
             )
             self._gateways.append(gateway)
             if self._has_rollouts:
@@ -430,12 +441,26 @@
                 await self._deployment.make_statement(fault)
             case models.RestoreStore(age_s, away_s):
                 await self._deployment.restore_store(age_s, away_s)
+            case (
+                models.RestoreUnderFrozenHolder()
+                | models.CopyAnswers()
+                | models.WriteOddEntries()
+                | models.LongBodies()
+            ):
+                await self._run_class_fault(fault)
+            case _:
+                typing.assert_never(fault)
+
+    async def _run_class_fault(self, fault: models.ClassFault) -> None:
+        match fault:
             case models.CopyAnswers():
                 await self._deployment.copy_answers(fault)
             case models.WriteOddEntries(vm):
                 async with asyncio.TaskGroup() as group:
                     group.create_task(self._deployment.write_odd_entries(fault))
                     await self._apply_fault(models.Kill(vm, 0.0))
+            case models.LongBodies(vm):
+                await long_bodies.send(self._gateways[vm], fault)
             case models.RestoreUnderFrozenHolder():
                 await self._restore_under_frozen_holder(fault)
             case _:
--- a/berylweir/standin/gateway_platform/server.py
+++ b/berylweir/standin/gateway_platform/server.py
@@ -108,6 +108,7 @@
         crashing_paths: Paths of requests that end it soon after their start.
         crashes_in_response: Whether it ends while it sends the response to such
             a request, instead of before it.
+        endless_paths: Paths of requests whose responses don't end.
         on_crash: Called to end it.
         repeats_ids: Whether its responses to commands repeat their ids, as
             those to other requests always do.
@@ -149,6 +150,7 @@
         self.in_flight = 0
         self.crashing_paths: frozenset[str] = frozenset()
         self.crashes_in_response = False
+        self.endless_paths: frozenset[str] = frozenset()
         self.on_crash: Callable[[], None] = lambda: None
         self.repeats_ids = False
         self.choose_copy: Callable[[], bool] = lambda: False
@@ -303,7 +305,12 @@
         if self.next_responses:
             return self.next_responses.pop(0)
         self.completions.append(Completion(request_id, self._clock()))
-        return self.build_response(request_id, request.path)
+        response = self.build_response(request_id, request.path)
+        if request.path not in self.endless_paths:
+            return response
+        return dataclasses.replace(
+            response, body=_RESPONSE_PART, repeats_body=True
+        )
 
     def _begin_crash(self, request_id: str, path: str) -> http.Response:
         """Returns a response that doesn't end before the server does."""
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -117,6 +117,8 @@
             (models.FaultClass.LATE_COPIES, 2),
             # Build 999776f serves nothing after a start beside odd entries.
             (models.FaultClass.ODD_ENTRIES, 1),
+            # Build 59daade uses more memory than its limit.
+            (models.FaultClass.LONG_BODIES, 1),
         ],
     )
     async def test_classes_break_no_guarantee(
