Break off the responses of a router without a reset

Callers saw: as at a gateway, a caller that reads slowly loses whole responses when the one behind them breaks off or its request fails with an unhandled error.

Cause: the router aborted the connection within the broken response, which drops what is buffered and has the kernel reset the connection.

Change: the connection ends as behind a last response. The broken response still can't look complete, as it lacks bytes or its last chunk.

Test: TestBrokenResponses (tests/router/test_closing.py), 4 of 4 failed before with ConnectionResetError, with and without TLS. Passing now, with the tests of tests/router outside of its folders.

--- a/berylweir/router/ingress/protocol.py
+++ b/berylweir/router/ingress/protocol.py
@@ -400,11 +400,13 @@
             await self._close_idle()
         except exceptions.ResponseCut:
             self._metrics.count("router.response.cut")
-            self.abort()
+            # A reset would lose what the caller hasn't received of earlier
+            # responses.
+            await self._close_lingering()
         except Exception:
             self._metrics.count("router.request.crashed")
             _LOGGER.exception("unhandled error in a request")
-            self.abort()
+            await self._close_lingering()
 
     async def _wait_for_request(self) -> bool:
         """Returns whether there is one; if not, the connection is closed."""
--- a/tests/router/test_closing.py
+++ b/tests/router/test_closing.py
@@ -12,6 +12,7 @@
 from berylweir.observability import counters
 from berylweir.router.backends import peers as peer_pools
 from berylweir.router.backends import pool
+from berylweir.router.ingress import exceptions
 from berylweir.router.ingress import forwarding
 from berylweir.router.ingress import incoming
 from berylweir.router.ingress import models
@@ -30,9 +31,17 @@
 async def serve(
     request: incoming.Request, caller: protocol.CallerConnection
 ) -> None:
-    """Responds, with `_BODY` if the target says so."""
-    body = _BODY if request.head.target == b"/large" else b""
-    caller.start_response(200, (), body, is_complete=True)
+    """Responds, with `_BODY` or a broken response if the target says so."""
+    match request.head.target:
+        case b"/large":
+            caller.start_response(200, (), _BODY, is_complete=True)
+        case b"/cut":
+            caller.start_response(200, (), b"x", is_complete=False)
+            raise exceptions.ResponseCut
+        case b"/crash":
+            raise ValueError("no such case")
+        case _:
+            caller.start_response(200, (), b"", is_complete=True)
 
 
 def create_tls_contexts() -> tuple[ssl.SSLContext, ssl.SSLContext]:
@@ -332,6 +341,34 @@
             )
 
 
+@pytest.mark.parametrize("with_tls", [False, True])
+class TestBrokenResponses:
+    """Connections that end because a response breaks off."""
+
+    @pytest.mark.parametrize(
+        ("target", "heads", "body"),
+        [(b"/cut", 1, b"1\r\nx\r\n"), (b"/crash", 0, b"")],
+    )
+    async def test_earlier_response_is_not_cut_off(
+        self, with_tls, target, heads, body
+    ):
+        """Guards against a reset that loses what a slow caller has due."""
+        async with open_connection(with_tls=with_tls) as (
+            connection,
+            reader,
+            writer,
+        ):
+            await send_large_request(connection, writer)
+            writer.write(_REQUEST.replace(b"/ ", target + b" "))
+            await asyncio.sleep(0.3)
+            writer.write(_REQUEST)
+            await asyncio.sleep(0.3)
+            assert (await rig.read_message(reader)).body == _BODY
+            rest = await reader.read()
+            assert rest.count(b"HTTP/1.1 ") == heads
+            assert rest.rpartition(b"\r\n\r\n")[2] == body
+
+
 class TestCrossingRequests:
     """Requests that cross the close of an idle connection."""
 
