Answer requests that fail with an unhandled error

Callers would see: an error of the gateway in the handling of one request closes its connection without an answer, and with it all requests behind it, also those that servers have run.

Cause: such an error ended the task of the connection.

Change: the request gets 502, as it may have run, and its connection goes on. Errors while an answer is being written still end the connection.

Test: test_unhandled_error_spares_the_other_requests (tests/gateway/ test_path.py) got no answer to either request before, and passes now, with test_path.py, test_outcomes.py, test_odd_entries.py and tests/docs.

--- a/berylweir/gateway/exchange/handler.py
+++ b/berylweir/gateway/exchange/handler.py
@@ -119,6 +119,16 @@
         except asyncio.CancelledError:
             self._answers.record_abandoned(request, route, state)
             raise
+        except Exception:
+            # The connection has other requests, which are answered.
+            self._metrics.count("gateway.request.crashed")
+            _LOGGER.exception(
+                "unhandled error in a request",
+                extra={"request": request.head.request_id},
+            )
+            return self._answers.fail(
+                request, route, outcomes.BAD_GATEWAY, "unhandled error"
+            )
         finally:
             self._stop_limits.end_run(run)
 
--- a/tests/gateway/test_path.py
+++ b/tests/gateway/test_path.py
@@ -6,6 +6,7 @@
 
 import pytest
 
+from berylweir.gateway.exchange import outcomes
 from berylweir.standin.gateway_platform import http
 from berylweir.standin.gateway_platform import server as server_standin
 from tests.gateway import rig
@@ -277,6 +278,24 @@
                 f"a{n}" for n in range(6)
             ]
 
+    async def test_unhandled_error_spares_the_other_requests(self, monkeypatch):
+        """Guards against a close that drops all requests of a connection."""
+        next_step = outcomes.next_step
+
+        def fail_once(*args, **options) -> outcomes.Step:
+            monkeypatch.setattr(outcomes, "next_step", next_step)
+            raise ValueError("no such case")
+
+        async with start_deployment("unsafe") as (deployment, gateway):
+            monkeypatch.setattr(outcomes, "next_step", fail_once)
+            caller = await gateway.connect()
+            for number in range(2):
+                caller.send(f"/r/{number}", f"a{number}", method="POST")
+            replies = [await caller.read() for _ in range(2)]
+            assert [r and r.status for r in replies] == [502, 200]
+            assert gateway.metrics.counts["gateway.request.crashed"] == 1
+            assert sorted(run_ids(deployment)) == ["a0", "a1"]
+
     async def test_non_idempotent_request_waits_for_earlier_responses(self):
         """Guards against running a request twice after a close.
 
