Tell other gateways that an incomplete request wasn't sent

Callers saw: 502 for a request that may not be repeated and that no server got, if the gateway to which it was forwarded had no memory for its body or stopped before it had arrived. One that may be repeated used up an attempt and a retry.

Cause: refusals of requests that weren't received as a whole lacked the header with the outcome, which another gateway needs. It took them for an answer of unknown origin.

Change: on the port for other gateways these refusals say that nothing was sent. Refusals to callers are unchanged.

Test: test_refusal_of_an_incomplete_request_tells_its_outcome (tests/gateway/ test_forwarding.py) failed before, as there was no outcome, and passes now, with test_forwarding.py, test_long_bodies.py and tests/gateway/ingress.

--- a/berylweir/gateway/forwarding/codec.py
+++ b/berylweir/gateway/forwarding/codec.py
@@ -127,6 +127,12 @@
     return dataclasses.replace(answer, headers=tuple(headers))
 
 
+def refusal_headers() -> tuple[requests.Header, ...]:
+    """Returns headers that tell another gateway that nothing was sent."""
+    kind = exchange.AnswerKind.REFUSED
+    return ((requests.FORWARDED_OUTCOME, kind.value.encode()),)
+
+
 def decode_leaving_server(
     headers: Sequence[requests.Header],
 ) -> models.ServerInstance | None:
--- a/berylweir/gateway/ingress/protocol.py
+++ b/berylweir/gateway/ingress/protocol.py
@@ -59,6 +59,7 @@
         memory: budget.BodyMemory,
         metrics: counters.Counters,
         decode_head: DecodeHead = codec.decode_caller_request,
+        refusal_headers: tuple[requests.Header, ...] = (),
     ) -> None:
         """Creates the protocol of a connection that isn't open yet.
 
@@ -72,6 +73,8 @@
             memory: Memory for the bodies of requests.
             metrics: Counters.
             decode_head: Decodes the head of a request and its origin.
+            refusal_headers: Added to the refusal of a request that wasn't
+                received as a whole.
         """
         self._decode_head = decode_head
         self._handle_request = handle_request
@@ -102,7 +105,9 @@
         # Bytes that wait until the queue has room.
         self._unparsed = memoryview(b"")
         self._unanswered = unanswered.Recorder(metrics)
-        self._rejections = rejections.RejectionWriter(memory, metrics)
+        self._rejections = rejections.RejectionWriter(
+            memory, metrics, refusal_headers
+        )
         self._is_reading_paused = False
 
     @property
--- a/berylweir/gateway/ingress/rejections.py
+++ b/berylweir/gateway/ingress/rejections.py
@@ -21,14 +21,19 @@
     """Writes the last answer of a connection, and records why it is one."""
 
     def __init__(
-        self, memory: budget.BodyMemory, metrics: counters.Counters
+        self,
+        memory: budget.BodyMemory,
+        metrics: counters.Counters,
+        refusal_headers: tuple[requests.Header, ...] = (),
     ) -> None:
         """Creates a writer.
 
         Args:
             memory: Memory for the bodies of requests.
             metrics: Counters.
+            refusal_headers: Added to a 503.
         """
+        self._refusal_headers = refusal_headers
         self._memory = memory
         self._metrics = metrics
 
@@ -76,11 +81,8 @@
                 "held_bytes": self._memory.held_bytes,
             },
         )
-        answers.write_last(
-            503,
-            requests.encode_error_headers(
-                failure.request_id, _NO_MEMORY_RETRY_AFTER_S
-            ),
+        self._write_refusal(
+            failure.request_id, _NO_MEMORY_RETRY_AFTER_S, answers
         )
 
     def _write_interrupted(
@@ -92,9 +94,15 @@
             "request interrupted by the stop",
             extra={"request": failure.request_id},
         )
-        answers.write_last(
-            503,
-            requests.encode_error_headers(
-                failure.request_id, _STOPPING_RETRY_AFTER_S
-            ),
+        self._write_refusal(
+            failure.request_id, _STOPPING_RETRY_AFTER_S, answers
         )
+
+    def _write_refusal(
+        self,
+        request_id: str,
+        retry_after_s: float,
+        answers: writer.AnswerWriter,
+    ) -> None:
+        headers = requests.encode_error_headers(request_id, retry_after_s)
+        answers.write_last(503, (*headers, *self._refusal_headers))
--- a/berylweir/gateway/ingress/task.py
+++ b/berylweir/gateway/ingress/task.py
@@ -54,12 +54,15 @@
         address: Host and port.
         decode_head: Decodes the head of a request and its origin.
         own_header_bytes: Size of headers that a gateway has added, in bytes.
+        refusal_headers: Added to the refusal of a request that wasn't received
+            as a whole.
     """
 
     peer: Peer
     address: tuple[str, int]
     decode_head: protocol.DecodeHead
     own_header_bytes: int = 0
+    refusal_headers: tuple[requests.Header, ...] = ()
 
 
 def caller_listener(environment: models.Environment) -> Listener:
@@ -76,6 +79,7 @@
         (environment.host, environment.forward_port),
         codec.decode_forwarded_request,
         _MAX_OWN_HEADER_BYTES,
+        codec.refusal_headers(),
     )
 
 
@@ -181,6 +185,7 @@
             self._memory,
             self._metrics,
             self._listener.decode_head,
+            self._listener.refusal_headers,
         )
         if self._draining.is_set():
             connection.announce_close()
--- a/tests/gateway/test_forwarding.py
+++ b/tests/gateway/test_forwarding.py
@@ -422,6 +422,36 @@
             assert "request-id" in names
             assert not any("berylweir" in name for name in names)
 
+    async def test_refusal_of_an_incomplete_request_tells_its_outcome(self):
+        """Guards against a 502 for a request that was never received.
+
+        Another gateway takes a refusal of unknown kind for one of a server.
+        """
+        own = (
+            "Berylweir-Forwarded-By: vm-9\r\nBerylweir-Group: books\r\n"
+            "Berylweir-Sent-Attempts: 0\r\nBerylweir-May-Have-Run: 0\r\n"
+            "Berylweir-Timeout-Ms: 20000\r\nContent-Length: 99\r\n"
+        )
+        async with start_deployment("unsafe", gateways=1) as deployment:
+            (gateway,) = deployment.gateways
+            caller = rig.Caller(
+                *await asyncio.open_connection(
+                    gateway.environment.host, gateway.environment.forward_port
+                )
+            )
+            caller.send(
+                "/r/1", "a1", method="POST", deadline_ms=20_000, headers=own
+            )
+            stop_task = asyncio.create_task(gateway.stop())
+            for _ in range(4):
+                await asyncio.sleep(1.0)
+                caller.writer.write(b"x")
+            reply = await caller.read()
+            assert reply.status == 503
+            assert reply.headers["berylweir-outcome"] == "refused"
+            await stop_task
+            assert not run_ids(deployment)
+
     async def test_forward_port_rejects_requests_of_others(self):
         """Guards against requests whose earlier attempts aren't known."""
         async with start_deployment() as deployment:
