Don't take an own lease for the last one after a restoration

Callers saw two servers that hold the same keys (in a model): a holder was frozen for 2 s, another gateway took the lease and moved keys, and the store came back from a copy without that lease. The first holder, the only one that responded, took the lease again and granted keys at once by older tables.

A gateway took the newest lease that it knew for the last one of its generation if it had evidence of it within 4 s, also by its own reads of its own lease. But deputies take over after two reports without a response, in less than that, and a holder that is suspended or cut off from them isn't told. So the real programs can do this, too: what the gateway knows and awaits in the model is their code.

A gateway's own lease is never certainly the last one now. Nor does a series of leases continue over a restoration by the evidence of the holder itself.

--- a/berylweir/gateway/ownership/lease.py
+++ b/berylweir/gateway/ownership/lease.py
@@ -112,7 +112,7 @@
         self._store = lease_store.LeaseStore(client, metrics)
         self._peer_client = peer_client
         self._holder_check = holder_check.HolderCheck(local_vm, peer_client)
-        self._history = lease_history.LeaseHistory()
+        self._history = lease_history.LeaseHistory(local_vm)
         self._table_recovery = table_recovery.TableRecovery(
             local_vm,
             self._holder_check,
--- a/berylweir/gateway/ownership/lease_history.py
+++ b/berylweir/gateway/ownership/lease_history.py
@@ -35,7 +35,7 @@
     Attributes:
         leases: Consecutive leases, the newest last; at least one.
         is_last: Whether the newest was certainly in force shortly before the
-            restoration.
+            restoration, by what a gateway other than its holder knows.
     """
 
     leases: tuple[FormerLease, ...]
@@ -54,8 +54,13 @@
     may have lost a later one. All times are on the boot clock, in seconds.
     """
 
-    def __init__(self) -> None:
-        """Creates the history of a gateway that has read nothing yet."""
+    def __init__(self, local_vm: models.Vm) -> None:
+        """Creates the history of a gateway that has read nothing yet.
+
+        Args:
+            local_vm: VM of this gateway.
+        """
+        self._local_vm = local_vm
         # Consecutive leases, the newest last.
         self._leases: tuple[FormerLease, ...] = ()
         self._newest_epoch = 0
@@ -94,8 +99,12 @@
         if generation <= self._generation:
             return
         if self._leases:
+            newest = self._leases[-1]
+            # A lease is taken over because its holder is suspended or cut off,
+            # and such a holder doesn't learn of it.
             is_last = (
-                self._leases[-1].epoch == self._newest_epoch
+                newest.incarnation != self._local_vm.incarnation
+                and newest.epoch == self._newest_epoch
                 and now_s - self._evidence_s <= _MAX_EVIDENCE_AGE_S
             )
             self._former = FormerLeases(self._leases, is_last)
--- a/tests/gateway/ownership/test_restorations.py
+++ b/tests/gateway/ownership/test_restorations.py
@@ -45,7 +45,7 @@
     def __init__(self, name: str) -> None:
         self.vm = models.Vm(name, f"run-{name}", "127.0.0.1", 1, "a")
         self.cache = store_cache.StoreCache([], counters.Counters())
-        self.history = lease_history.LeaseHistory()
+        self.history = lease_history.LeaseHistory(self.vm)
         self.table: models.KeyTable | None = None
         self.lease: models.Lease | None = None
         self.previous: models.Lease | None = None
--- a/tests/gateway/ownership/test_table_recovery.py
+++ b/tests/gateway/ownership/test_table_recovery.py
@@ -176,7 +176,7 @@
         recovery = table_recovery.TableRecovery(
             vm("vm-1"),
             check,
-            lease_history.LeaseHistory(),
+            lease_history.LeaseHistory(vm("vm-1")),
             is_due=lambda epoch: True,
             get_acted_epoch=lambda: 4,
             get_table_orders=lambda: known,
