Place the requests of the handler's tests in one way

Three tests built the same server and placement. The harness does so now; the tests check what they did.

pytest tests/gateway/test_stop.py -k "LostReplies or Waits or TestRuns": 13 passed.

--- a/tests/gateway/test_stop.py
+++ b/tests/gateway/test_stop.py
@@ -437,6 +437,17 @@
             )
         )
 
+    async def place(self, port: int, limit: float | None = None) -> None:
+        """Places the next request on a server at a port of this machine."""
+        place_request = await self.inbox.get()
+        server = models.BackendServer(
+            "s0", 1, "books", "127.0.0.1", port, "a", 3, False, 0.0, 1
+        )
+        now_s = asyncio.get_running_loop().time()
+        place_request.reply.set_result(
+            messages.Placement(server, None, now_s, 0.0, limit=limit)
+        )
+
     def begin_stop(self, *, accepts_s: float, ends_s: float) -> None:
         """Begins a stop whose times are given from now on, in seconds."""
         now_s = asyncio.get_running_loop().time()
@@ -484,15 +495,9 @@
         """Guards against sending a request once a late permit allows it."""
         harness = HandlerHarness(kind="unsafe", timeout_ms=9000.0)
         answer_task = harness.handle(9000.0)
-        place_request = await harness.inbox.get()
-        server = models.BackendServer(
-            "s0", 1, "books", "127.0.0.1", 1, "a", 3, False, 0.0, 1
-        )
-        now_s = asyncio.get_running_loop().time()
-        place_request.reply.set_result(
-            messages.Placement(server, None, now_s, 0.0, limit=1.0)
-        )
+        await harness.place(1, limit=1.0)
         acquire = await harness.permits_inbox.get()
+        now_s = asyncio.get_running_loop().time()
         acquire.reply.set_result(messages.PermitGranted(now_s + 3.0))
         harness.begin_stop(accepts_s=0.1, ends_s=5.0)
         assert (await answer_task).status == 503
@@ -557,27 +562,7 @@
         async with rig.Rig() as deployment:
             server = await deployment.add_server("s0", "books", service_s=20.0)
             tasks = [harness.handle(9000.0) for _ in range(2)]
-            place_request = await harness.inbox.get()
-            now_s = asyncio.get_running_loop().time()
-            place_request.reply.set_result(
-                messages.Placement(
-                    models.BackendServer(
-                        "s0",
-                        1,
-                        "books",
-                        "127.0.0.1",
-                        deployment.ports["s0"],
-                        "a",
-                        3,
-                        False,
-                        0.0,
-                        1,
-                    ),
-                    None,
-                    now_s,
-                    0.0,
-                )
-            )
+            await harness.place(deployment.ports["s0"])
             await rig.until(lambda: bool(server.executions))
             harness.begin_stop(accepts_s=0.1, ends_s=1.0)
             assert [(await t).status for t in tasks] == [502, 503]
@@ -598,14 +583,7 @@
         """Guards against a server whose slot such a request keeps."""
         harness = HandlerHarness(kind="unsafe", timeout_ms=200.0)
         answer_task = harness.handle(200.0)
-        place_request = await harness.inbox.get()
-        server = models.BackendServer(
-            "s0", 1, "books", "127.0.0.1", 1, "a", 3, False, 0.0, 1
-        )
-        now_s = asyncio.get_running_loop().time()
-        place_request.reply.set_result(
-            messages.Placement(server, None, now_s, 0.0, limit=1.0)
-        )
+        await harness.place(1, limit=1.0)
         await harness.permits_inbox.get()
         returned = await asyncio.wait_for(harness.inbox.get(), 5.0)
         assert isinstance(returned, messages.PlacementReturned)
