Freeze two of three gateways in the model of restorations

The model froze one gateway at a time, which hid a holder that takes its own earlier lease for the last one. Passes here with 400: pytest tests/gateway/ownership/test_restorations.py

--- a/tests/gateway/ownership/test_restorations.py
+++ b/tests/gateway/ownership/test_restorations.py
@@ -90,7 +90,7 @@
 class Restorations(stateful.RuleBasedStateMachine):
     """Plays what may happen; no key may have two owners.
 
-    At most one gateway is frozen at a time.
+    At least one gateway is running at any time.
     """
 
     def __init__(self) -> None:
@@ -110,8 +110,8 @@
         return [gateway for gateway in self.gateways if not gateway.is_frozen]
 
     def may_freeze(self) -> bool:
-        """Returns whether no gateway is frozen."""
-        return self.running() == self.gateways
+        """Returns whether another gateway would still run."""
+        return len(self.running()) > 1
 
     def new_holders(self) -> list[Gateway]:
         """Returns gateways that have the lease and don't act yet."""
