Confirm the lease after a suspension before granting keys

What callers could see: two servers that held the same keys for up to 3.1 s. A holder was frozen for 5.5 s, another gateway took the lease and moved keys of a server, which started again and forgot its tokens. When the first holder continued, it renewed the grants of that server after 0.006 s and again after 0.62 s, and the server accepted both.

Cause: a holder may act for 14 s after it has read its lease, also if it was suspended meanwhile, since tokens make its grants harmless. A server that has started again has forgotten them.

Change: a holder that didn't run for 1.5 s, in which the first deputy can take over, grants nothing until it has read its lease again. That is known from its first moment on, as the time since the last check is compared whenever a command is sent. While the store is unavailable, such a holder grants nothing.

--- a/berylweir/gateway/ownership/lease.py
+++ b/berylweir/gateway/ownership/lease.py
@@ -13,6 +13,7 @@
 import dataclasses
 import logging
 import random
+import typing
 
 import result
 
@@ -26,6 +27,7 @@
 from berylweir.gateway.ownership import lease_history
 from berylweir.gateway.ownership import lease_store
 from berylweir.gateway.ownership import succession
+from berylweir.gateway.ownership import suspension
 from berylweir.gateway.ownership import table_order
 from berylweir.gateway.ownership import table_recovery
 from berylweir.gateway.peers import messages as peers
@@ -138,6 +140,7 @@
         self._acquired_s = float("-inf")
         self._holder = holder_monitor.HolderMonitor()
         self._state_changed = asyncio.Event()
+        self._suspension = suspension.SuspensionMonitor(self._state_changed.set)
         self._report_requested = asyncio.Event()
         self._is_resigning = False
         # A lease that was given up but not yet released, and the VM to which
@@ -168,13 +171,16 @@
     def may_act(self) -> bool:
         """Whether this gateway may grant and move keys now.
 
-        It may for `AUTHORITY_S` after it last read itself as the holder. A
-        later holder takes into account that it grants keys until then.
+        It may for `AUTHORITY_S` after it last read itself as the holder, unless
+        it was suspended since: a server that has started again meanwhile would
+        take its outdated grants. A later holder takes into account that it
+        grants keys until then.
         """
         return (
             self.is_holder
             and self._acting_epoch == self.epoch
             and clock.boot_s() - self._confirmed_s < grant_expiry.AUTHORITY_S
+            and self._suspension.was_running_since(self._confirmed_s)
         )
 
     def status(self, orders: table_order.Orders) -> peers.GatewayStatus:
@@ -283,6 +289,12 @@
 
     async def run(self) -> None:
         """Confirms, monitors or acquires the lease until it is cancelled."""
+        async with contextlib.AsyncExitStack() as stack:
+            watching = asyncio.create_task(self._suspension.run())
+            stack.callback(watching.cancel)
+            await self._maintain_lease()
+
+    async def _maintain_lease(self) -> typing.NoReturn:
         while True:
             if not self._has_read_lease or self._is_resigning:
                 await self._wait_for_change(None)
@@ -404,7 +416,10 @@
 
     async def _confirm_lease(self) -> None:
         """Confirms that this gateway still holds the lease, then waits."""
-        if not await self._read_own_lease():
+        is_read = await self._read_own_lease()
+        if not is_read or not self._suspension.was_running_since(
+            self._confirmed_s
+        ):
             await asyncio.sleep(_CONFIRM_RETRY_S)
         elif self.is_holder:
             await self._wait_for_change(_CONFIRM_INTERVAL_S)
--- a/tests/gateway/ownership/test_lease.py
+++ b/tests/gateway/ownership/test_lease.py
@@ -5,6 +5,7 @@
 import contextlib
 import time
 
+import pytest
 import result
 
 from berylweir.gateway import clock
@@ -340,6 +341,31 @@
             offer = peers.OfferLease(3, lease_store.revision)
             await rig.until(lambda: ("other", offer) in gateways.requests)
 
+    @pytest.mark.parametrize("holder", ["me", "other"])
+    async def test_a_suspended_holder_confirms_its_lease_first(
+        self, monkeypatch, holder
+    ):
+        """Guards against grants to a server that has forgotten its tokens."""
+        async with self.run_manager("me") as (manager, lease_store, _):
+            await rig.until(lambda: manager.may_act)
+            reads = self._reads
+            if holder != "me":
+                spec = {
+                    "holder": holder,
+                    "incarnation": vm(holder).incarnation,
+                    "epoch": 4,
+                }
+                await lease_store.put(
+                    objects.GATEWAY_KIND, objects.LEASE_NAME, spec
+                )
+            boot_s = clock.boot_s
+            monkeypatch.setattr(clock, "boot_s", lambda: boot_s() + 3.0)
+            while self._reads == reads:
+                assert not manager.may_act
+                await asyncio.sleep(0.001)
+            await rig.until(lambda: manager.may_act == (holder == "me"))
+            assert manager.is_holder == (holder == "me")
+
     async def test_a_hand_over_waits_for_the_read_of_the_lease(self):
         """Guards against a response that is taken for that of another call."""
         async with self.run_manager("me", read_delay_s=0.3) as (
