--- a/review/rig_gateway.py
+++ b/review/rig_gateway.py
@@ -126,6 +126,22 @@
         finally:
             writer.close()
 
+    def memory_bytes(self) -> int:
+        """Returns the program's own resident memory; 0 if it doesn't run.
+
+        Pages of files that it shares with other programs don't count.
+        """
+        if self._process is None or self._process.returncode is not None:
+            return 0
+        try:
+            status = pathlib.Path(f"/proc/{self._process.pid}/status")
+            for line in status.read_text(encoding="ascii").splitlines():
+                if line.startswith("RssAnon:"):
+                    return int(line.split()[1]) * 1024
+        except OSError:
+            pass  # It has just ended.
+        return 0
+
     async def kill(self) -> None:
         """Ends the program at once, if it runs."""
         if self._process is not None and self._process.returncode is None:
@@ -138,13 +154,16 @@
 
 
 def configuration(
-    services: list[str], routes: list[tuple[str, str, str]]
+    services: list[str],
+    routes: list[tuple[str, str, str]],
+    max_body_bytes: int = 1_000_000,
 ) -> dict[str, object]:
     """Returns a configuration as the operator writes it.
 
     Args:
         services: Names of the services; none is divided by key.
         routes: Name, service and type of each route; its prefix is its name.
+        max_body_bytes: Longest body of a request, in bytes.
     """
     return {
         "cfgVer": "0000000c",
@@ -161,7 +180,7 @@
         ],
         "limits": {
             "maxHeaderBytes": 16384,
-            "maxBodyBytes": 1_000_000,
+            "maxBodyBytes": max_body_bytes,
             "headerTimeoutMs": 3000,
             "idleTimeoutMs": 15_000,
         },
